--- a/lab/cli/main.ts
+++ b/lab/cli/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The `shoredoor-lab` command line: development and CI only. */
+import { prepareHashing } from '../../src/common/rendezvous-hash.js';
 import { cac } from 'cac';
 import { UsageError, ValidationError } from '../../src/common/errors.js';
 import { registerCapacityCommand } from './capacity-command.js';
@@ -63,6 +64,7 @@
   registerCheckCommand(cli);
   registerExperimentCommand(cli);
   cli.help();
+  await prepareHashing();
   try {
     cli.parse(process.argv, { run: false });
     await cli.runMatchedCommand();
--- a/src/call/gate-server.ts
+++ b/src/call/gate-server.ts
@@ -28,6 +28,11 @@
 
 /** Part of its remaining time that a call of a target may wait: its caller's work is lost with it. */
 const NESTED_WAIT_FRACTION = 0.7;
+/**
+ * Part of its bound after which a call that waits reports congestion. A request may pass many gates one
+ * after the other, so its callers are to hear of short waits already.
+ */
+const CONGESTED_WAIT_FRACTION = 0.3;
 
 export class GateServer {
   constructor(private readonly options: GateServerOptions) {}
@@ -91,7 +96,10 @@
       services,
       new GateTransport(transport, context, incoming),
       (result) => this.onResult(call, result),
-      { nested: this.nested, congestedAfterMs: incoming.frame.context.waitMs },
+      {
+        nested: this.nested,
+        congestedAfterMs: CONGESTED_WAIT_FRACTION * incoming.frame.context.waitMs,
+      },
     );
     incoming.takeOutcome = (): Outcome => call.takeOutcome('ran', undefined);
     incoming.once('cancel', () => this.onCallerGone(call));
--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -3,6 +3,7 @@
 import { createLogger, type LogLevel, type Logger } from '../observe/logger.js';
 import type { Program } from '../programs/program.js';
 import { loadSettings } from '../settings/load-settings.js';
+import { prepareHashing } from '../common/rendezvous-hash.js';
 import { EXIT_CODES } from './exit-codes.js';
 
 /** Options of the commands that run a program. */
@@ -26,6 +27,7 @@
   const overrides = typeof options.set === 'string' ? [options.set] : (options.set ?? []);
   const settings = loadSettings(schema, options.config, overrides);
   const logger = createLogger(name, settings.id, settings.logLevel);
+  await prepareHashing();
   const program = await start(settings, logger);
   // One line on standard output tells supervisors which ports were bound.
   process.stdout.write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
