Refuse early by levels of congestion, not by counted refusals

The throttle counts refusals of one process, so lanes with 6 calls/s a process can't fall below 0.39 even if every answer is marked: 2.25 marks a second is what holds the fraction still, and the more processes share a load the less each holds back. Change: answers carry the level itself (the part of calls held up in the queue or below), and LevelThrottle moves by time and level; ranks differ in the level that they put up with. The test of marks drawn at random went with the marks; tests of levels, at low and high rates, take its place.

--- a/lab/simulator/sim-edge.ts
+++ b/lab/simulator/sim-edge.ts
@@ -1,4 +1,5 @@
 /** A simulated edge: group, kind and context as in the product, then the product's router. */
+import { OverloadThrottle } from '../../src/admission/overload-throttle.js';
 import { edgeOutboundRequest, mintContext } from '../../src/call/mint-context.js';
 import type { CallContext } from '../../src/call/call-context.js';
 import type { OutboundRequest } from '../../src/call/outbound-call.js';
@@ -39,7 +40,7 @@
       clock: this.clock,
       random,
       directory: this.directory,
-      throttle: { enabled: mechanisms.throttle },
+      throttle: new OverloadThrottle(random, { enabled: mechanisms.throttle }),
     });
   }
 
--- a/lab/simulator/sim-target.ts
+++ b/lab/simulator/sim-target.ts
@@ -2,6 +2,7 @@
  * One simulated target with its node: the product's decision modules, unchanged, around the
  * stand-in back end.
  */
+import { OverloadThrottle } from '../../src/admission/overload-throttle.js';
 import { AdmissionController } from '../../src/admission/admission-controller.js';
 import type { ConcurrencyLimiter } from '../../src/admission/concurrency-limiter.js';
 import { createLimiter } from '../../src/admission/limiter-registry.js';
@@ -302,7 +303,7 @@
       clock: this.clock,
       random: this.random,
       directory: this.directory,
-      throttle: { enabled: this.mechanisms.throttle },
+      throttle: new OverloadThrottle(this.random, { enabled: this.mechanisms.throttle }),
     });
   }
 }
--- a/src/admission/overload-throttle.ts
+++ b/src/admission/overload-throttle.ts
@@ -10,6 +10,7 @@
  * Engineering", 2016, chapter 21) and with windows of answers, which both refill more slowly.
  */
 import type { RandomSource } from '../common/random.js';
+import type { CallThrottle, CongestionReport } from './call-throttle.js';
 
 /** How a throttle answers to refusals. */
 export interface ThrottleOptions {
@@ -34,7 +35,7 @@
   refusedAt: number;
 }
 
-export class OverloadThrottle {
+export class OverloadThrottle implements CallThrottle {
   private readonly lanes = new Map<string, Lane>();
 
   constructor(
@@ -49,15 +50,13 @@
     return fraction >= 1 || this.random.next() < fraction;
   }
 
-  /**
-   * A call that was sent, or one made on its behalf, was refused for overload.
-   * @param shrink factor for this refusal, where it is not the throttle's own
-   */
-  onRefused(
-    lane: string,
-    now: number,
-    shrink: number = this.options.shrink ?? DEFAULT_SHRINK,
-  ): void {
+  onAnswer(lane: string, now: number, { overloaded }: CongestionReport): void {
+    if (overloaded) this.onRefused(lane, now);
+  }
+
+  /** A call that was sent, or one made on its behalf, was refused for overload. */
+  onRefused(lane: string, now: number): void {
+    const { shrink = DEFAULT_SHRINK } = this.options;
     const state = this.lanes.get(lane);
     const { settleMs = 0 } = this.options;
     if (state !== undefined && now - state.refusedAt < settleMs) return;
--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -4,6 +4,7 @@
  */
 import type { AdmissionController, AdmissionPermit } from '../admission/admission-controller.js';
 import type { PendingAdmission, AdmissionRefusal } from '../admission/admission-controller.js';
+import type { CongestionLevel } from '../admission/congestion-level.js';
 import type { SampleOutcome } from '../admission/concurrency-limiter.js';
 import type { Clock, Timer } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
@@ -31,8 +32,10 @@
   readonly claims: KeyClaims;
   /** Another instance answered at the target's address. */
   readonly onMisdirected?: () => void;
-  /** Whether to take an answer of the target for one that was held up by calls of its own. */
-  readonly drawCongested?: () => boolean;
+  /** Learns of calls that wait long or are refused here. */
+  readonly queueLevel?: CongestionLevel;
+  /** Part of the calls that the target makes which are held up, 0 to 1. */
+  readonly downstreamLevel?: () => number;
 }
 
 /** What a gate knows of a call besides its context. */
@@ -133,16 +136,19 @@
     return {
       verdict,
       refusal,
-      overloaded: this.refusedForOverload || this.nestedOverload || this.isHeldUp(),
+      overloaded: this.refusedForOverload || this.nestedOverload || this.waitedLong,
+      ...this.congestion(),
       ...(this.options.nested === true && { nested: true }),
       unspentRetries: this.allowance.end(),
       load: this.loadReport(),
     };
   }
 
-  /** Whether the call, or calls of the target while it ran, had to wait long. */
-  private isHeldUp(): boolean {
-    return this.waitedLong || this.services.drawCongested?.() === true;
+  /** The level of what waits here and below, where this process keeps it. */
+  private congestion(): Pick<Outcome, 'congestion'> {
+    const { queueLevel, downstreamLevel } = this.services;
+    if (queueLevel === undefined) return {};
+    return { congestion: Math.max(queueLevel.current(), downstreamLevel?.() ?? 0) };
   }
 
   private loadReport(): LoadReport {
@@ -152,6 +158,7 @@
 
   private onNotAdmitted(reason: AdmissionRefusal, retryAfterSeconds: number): void {
     this.refusedForOverload = reason !== 'leaving';
+    if (this.refusedForOverload) this.services.queueLevel?.onCall(1);
     this.refuse(reason, 'not-run', retryAfterSeconds, NOT_ADMITTED_DETAILS[reason]);
   }
 
@@ -159,6 +166,7 @@
     this.permit = permit;
     const now = this.services.clock.now();
     this.waitedLong = now - this.startedAt > (this.options.congestedAfterMs ?? Infinity);
+    this.services.queueLevel?.onCall(this.waitedLong ? 1 : 0);
     const remainingMs = this.context.deadlineAt - now;
     this.deadlineTimer = this.services.clock.schedule(remainingMs, () => this.onDeadline());
     if (this.claimKey === undefined) {
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -3,7 +3,7 @@
  * finds their route, and sends them to a sidecar beside a target of the route's service.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { DownstreamLoad } from '../admission/downstream-load.js';
+import type { CongestionLevel } from '../admission/congestion-level.js';
 import type { Clock } from '../common/clock.js';
 import { writeRefusal } from '../http/caller-response.js';
 import { PeerTransport, type PeerTransportOptions } from '../link/peer-transport.js';
@@ -39,7 +39,7 @@
   readonly stopPhase: () => StopPhase;
   readonly journal: RequestJournal;
   /** Learns of calls of the target that are held up or refused. */
-  readonly downstream: DownstreamLoad;
+  readonly downstream: CongestionLevel;
   /** Routes whose calls are made by targets, as gates have said. */
   readonly nestedRoutes: Set<string>;
 }
@@ -49,10 +49,10 @@
 /** Part of its objective that a request may wait to be let in: refused then, it can be sent again. */
 const WAIT_FRACTION = 0.25;
 /**
- * What one overload below leaves of a route, by importance, least first: routes that share a cause
- * answer to the same overloads, and the less urgent ones are to make room first.
+ * Part of the calls below that may be held up before requests of a route are refused early, by
+ * importance, least first: the less urgent ones are to make room first.
  */
-const SHRINK_BY_IMPORTANCE: readonly number[] = [0.8, 0.8, 0.9, 0.97];
+const TOLERATED_BY_IMPORTANCE: readonly number[] = [0.1, 0.15, 0.4, 0.8];
 /** Targets that are tried after one has refused for overload. */
 const OVERLOAD_REROUTES = 1;
 const STATUS_HEADERS_TOO_LARGE = 431;
@@ -165,7 +165,7 @@
         overloadReroutes: OVERLOAD_REROUTES,
         // A call of the target is not refused early: what its caller has done would be lost.
         throttled: !this.options.nestedRoutes.has(route.name),
-        shrink: SHRINK_BY_IMPORTANCE[route.importance],
+        toleratedCongestion: TOLERATED_BY_IMPORTANCE[route.importance]!,
       },
       new PeerTransport(transport, context, this.message, body, this.response),
       (result) => this.onResult(result),
@@ -181,7 +181,7 @@
 
   private onResult(result: OutboundResult): void {
     const stats = this.options.stats.kind(this.route.name);
-    if (result.type !== 'broken') this.learn(result.nested, result.overloaded);
+    if (result.type !== 'broken') this.learn(result);
     if (result.type === 'refused') {
       this.refuse(result.refusal);
       return;
@@ -196,10 +196,14 @@
     stats.onLatency(this.options.clock.now() - this.startedAt);
   }
 
-  private learn(nested: boolean, overloaded: boolean): void {
+  /** Of a call that the target of this machine made: how congested it is below. */
+  private learn(result: Exclude<OutboundResult, { type: 'broken' }>): void {
     const { nestedRoutes, downstream } = this.options;
-    if (nested) nestedRoutes.add(this.route.name);
-    if (nestedRoutes.has(this.route.name)) downstream.onCall(overloaded);
+    if (result.nested) nestedRoutes.add(this.route.name);
+    if (!nestedRoutes.has(this.route.name)) return;
+    const isLost =
+      result.type === 'refused' && (result.overloaded || result.refusal.reason === 'deadline');
+    downstream.onCall(isLost ? 1 : result.congestion);
   }
 
   private refuse(refusal: Refusal): void {
--- a/src/call/outbound-call.ts
+++ b/src/call/outbound-call.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, Timer } from '../common/clock.js';
 import { combineVerdicts, type Verdict } from '../common/verdict.js';
-import type { OverloadThrottle } from '../admission/overload-throttle.js';
+import type { CallThrottle } from '../admission/call-throttle.js';
 import type { RetryAllowance, RetryLoan } from '../retry/retry-allowance.js';
 import type { RetryBudget } from '../retry/retry-budget.js';
 import { decideRetry } from '../retry/retry-policy.js';
@@ -33,14 +33,14 @@
   readonly overloadReroutes?: number;
   /** Whether the call may be refused early, from what callees refuse. Default true. */
   readonly throttled?: boolean;
-  /** Factor by which an overload shrinks the part that is sent. Default: the throttle's own. */
-  readonly shrink?: number;
+  /** Congestion below that is put up with, 0 to 1. Default: the throttle's own. */
+  readonly toleratedCongestion?: number;
 }
 
 /** What a call works with. Shared by the calls of one process to one service. */
 export interface OutboundServices {
   readonly clock: Clock;
-  readonly throttle: OverloadThrottle;
+  readonly throttle: CallThrottle;
   readonly budget: RetryBudget;
   readonly balancer: Balancer;
 }
@@ -48,7 +48,13 @@
 /** How a call ended. */
 export type OutboundResult =
   /** A back end's answer was passed on whole. */
-  | { readonly type: 'relayed'; readonly overloaded: boolean; readonly nested: boolean }
+  | {
+      readonly type: 'relayed';
+      readonly overloaded: boolean;
+      /** Part of the calls below that are held up, as the callee told it; 0 where it told nothing. */
+      readonly congestion: number;
+      readonly nested: boolean;
+    }
   /** An answer had begun and broke off: the caller must see it as broken. */
   | { readonly type: 'broken'; readonly verdict: Verdict }
   /** No answer; the caller gets this refusal. */
@@ -56,6 +62,7 @@
       readonly type: 'refused';
       readonly refusal: Refusal;
       readonly overloaded: boolean;
+      readonly congestion: number;
       readonly nested: boolean;
     };
 
@@ -76,6 +83,7 @@
   private deadlineTimer: Timer | undefined;
   private answerBegan = false;
   private overloaded = false;
+  private congestion = 0;
   /** Whether a gate said that targets make the calls of this route. */
   private nested = false;
   private finished = false;
@@ -150,13 +158,14 @@
     this.answerBegan = true;
     this.verdict = 'ran';
     this.overloaded = outcome?.overloaded === true || head.status === STATUS_OVERLOADED;
-    this.informThrottle(this.overloaded);
+    this.informThrottle(this.overloaded, outcome);
     this.endPick('answered', outcome);
     return 'relay';
   }
 
   private onEnd(): void {
-    this.finish({ type: 'relayed', overloaded: this.overloaded, nested: this.nested });
+    const { overloaded, congestion, nested } = this;
+    this.finish({ type: 'relayed', overloaded, congestion, nested });
   }
 
   /** The node answered itself. */
@@ -168,7 +177,7 @@
     }
     this.verdict = combineVerdicts(this.verdict, outcome.verdict);
     this.overloaded ||= outcome.overloaded;
-    this.informThrottle(outcome.overloaded);
+    this.informThrottle(outcome.overloaded, outcome);
     this.continueAfter(outcome.verdict, outcome.overloaded, () => this.passOnRefusal(outcome));
   }
 
@@ -251,9 +260,12 @@
     this.pick = undefined;
   }
 
-  private informThrottle(overloaded: boolean): void {
+  private informThrottle(overloaded: boolean, outcome: Outcome | undefined): void {
     const { throttle, clock } = this.services;
-    if (overloaded) throttle.onRefused(this.request.lane, clock.now(), this.request.shrink);
+    const { lane, toleratedCongestion: tolerated } = this.request;
+    const congestion = outcome?.congestion;
+    this.congestion = Math.max(this.congestion, congestion ?? 0);
+    throttle.onAnswer(lane, clock.now(), { overloaded, congestion, tolerated });
   }
 
   private refuse(reason: Refusal['reason'], detail: string): void {
@@ -263,8 +275,8 @@
       retryAfterSeconds: this.retryAfterSeconds(reason),
       detail,
     };
-    const { overloaded, nested } = this;
-    this.finish({ type: 'refused', refusal, overloaded, nested });
+    const { overloaded, congestion, nested } = this;
+    this.finish({ type: 'refused', refusal, overloaded, congestion, nested });
   }
 
   private retryAfterSeconds(reason: Refusal['reason']): number {
--- a/src/call/outbound-router.ts
+++ b/src/call/outbound-router.ts
@@ -1,5 +1,6 @@
 /** Makes the outbound calls of one process: what edges and nodes share. */
-import { OverloadThrottle, type ThrottleOptions } from '../admission/overload-throttle.js';
+import type { CallThrottle } from '../admission/call-throttle.js';
+import { OverloadThrottle } from '../admission/overload-throttle.js';
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
 import { RetryBudget } from '../retry/retry-budget.js';
@@ -12,17 +13,18 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly directory: ServiceDirectory;
-  readonly throttle?: ThrottleOptions;
+  /** Default: an {@link OverloadThrottle} with its own defaults. */
+  readonly throttle?: CallThrottle;
   /** Retries to one service that can be saved up. */
   readonly retryBurst?: number;
 }
 
 export class OutboundRouter {
-  private readonly throttle: OverloadThrottle;
+  private readonly throttle: CallThrottle;
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RouterOptions) {
-    this.throttle = new OverloadThrottle(options.random, options.throttle);
+    this.throttle = options.throttle ?? new OverloadThrottle(options.random);
   }
 
   /** Starts a call to `service`. The listener may hear the result before this returns. */
--- a/src/call/outcome.ts
+++ b/src/call/outcome.ts
@@ -21,6 +21,8 @@
   readonly refusal: RefusalReason | undefined;
   /** Whether this call, or one made on its behalf, was refused for overload. */
   readonly overloaded: boolean;
+  /** Part of the calls there and below that are held up, 0 to 1. Told by sidecars. */
+  readonly congestion?: number;
   /** Whether targets make the calls of this kind, and not clients. Default false. */
   readonly nested?: boolean;
   /** Retries given back to the caller. */
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -43,6 +43,7 @@
   unspentRetries: number,
   inFlight: number | null,
   limit: number | null,
+  congestion: number | null,
 ];
 
 /** Texts that stand before the headers in a call's lines. */
@@ -231,7 +232,7 @@
 }
 
 function outcomeFields(outcome: Outcome): OutcomeFields {
-  const { verdict, refusal, overloaded, nested, unspentRetries, load } = outcome;
+  const { verdict, refusal, overloaded, nested, unspentRetries, load, congestion } = outcome;
   return [
     verdict,
     refusal ?? null,
@@ -240,11 +241,13 @@
     unspentRetries,
     load?.inFlight ?? null,
     load?.limit ?? null,
+    congestion ?? null,
   ];
 }
 
 function outcomeOf(fields: OutcomeFields): Outcome {
-  const [verdict, refusal, overloaded, nested, unspentRetries, inFlight, limit] = fields;
+  const [verdict, refusal, overloaded, nested, unspentRetries, inFlight, limit, congestion] =
+    fields;
   return {
     verdict,
     refusal: refusal ?? undefined,
@@ -252,6 +255,7 @@
     nested,
     unspentRetries,
     load: inFlight === null || limit === null ? undefined : { inFlight, limit },
+    ...(congestion !== null && { congestion }),
   };
 }
 
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -3,8 +3,8 @@
  * parts together and stops them in order.
  */
 import { AdmissionController } from '../admission/admission-controller.js';
-import { DownstreamLoad } from '../admission/downstream-load.js';
-import type { ThrottleOptions } from '../admission/overload-throttle.js';
+import { CongestionLevel } from '../admission/congestion-level.js';
+import { LevelThrottle } from '../admission/level-throttle.js';
 import { SHARING_ORDERS } from '../admission/sharing-policy.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
 import { CallStats } from '../call/call-stats.js';
@@ -53,12 +53,6 @@
 /** The ingress takes larger headers than routes may allow, so that it can say what the limit is. */
 const MAX_HEADER_BYTES = 256 * 1024;
 
-/**
- * Requests are refused early by what is refused or held up anywhere below: many answers tell of one
- * cause, so they count once in a while, and the fraction returns over seconds.
- */
-const THROTTLE: ThrottleOptions = { shrink: 0.8, doublingMs: 2_000, settleMs: 200 };
-
 /** Longest time that a stop waits for control to hear of it. */
 const ANNOUNCEMENT_MS = 300;
 
@@ -80,7 +74,9 @@
   private readonly links: LinkPool;
   private readonly limiter = new SlotLimiter(SLOT_FRACTION);
   private readonly split = new WeightedSplit(this.random);
-  private readonly downstream: DownstreamLoad;
+  /** Of the calls that wait for the target, and of those that it makes. */
+  private readonly queueLevel: CongestionLevel;
+  private readonly downstream: CongestionLevel;
   private readonly journal: RequestJournal;
   private readonly lease: TargetLease;
   private readonly instancePool: InstancePool;
@@ -100,7 +96,8 @@
     private readonly variations: SidecarVariations,
   ) {
     const { clock } = this;
-    this.downstream = new DownstreamLoad(clock, this.random);
+    this.queueLevel = new CongestionLevel(clock);
+    this.downstream = new CongestionLevel(clock);
     this.links = new LinkPool(settings.linkToken);
     this.journal = new RequestJournal(clock, logger.part('request'));
     this.lease = new TargetLease(clock, settings.targetSilentMs, () => this.onTargetChanged());
@@ -212,7 +209,8 @@
         claims: NO_CLAIMS,
         isLeaving: () => this.phase === StopPhase.Finishing || !lease.isReady,
         onMisdirected: () => lease.onMisdirected(),
-        drawCongested: () => this.downstream.drawCongested(),
+        queueLevel: this.queueLevel,
+        downstreamLevel: () => this.downstream.current(),
       },
       transport: {
         clock,
@@ -237,7 +235,7 @@
         random,
         directory,
         retryBurst: burst,
-        throttle: THROTTLE,
+        throttle: new LevelThrottle(random),
       }),
       split,
       transport: {
--- a/test/admission/early-refusal.test.ts
+++ b/test/admission/early-refusal.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { AdmissionController } from '../../src/admission/admission-controller.js';
-import { DownstreamLoad } from '../../src/admission/downstream-load.js';
+import { CongestionLevel } from '../../src/admission/congestion-level.js';
+import { LevelThrottle } from '../../src/admission/level-throttle.js';
 import { OverloadThrottle } from '../../src/admission/overload-throttle.js';
 import { SHARING_ORDERS } from '../../src/admission/sharing-policy.js';
 import { SlotLimiter } from '../../src/admission/slot-limiter.js';
@@ -8,22 +9,59 @@
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import type { Importance } from '../../src/policy/importance.js';
 
-describe('the load below a target', () => {
-  it('marks answers as often as calls were held up', () => {
-    const clock = new VirtualClock();
-    const load = new DownstreamLoad(clock, new SeededRandom(1));
-    for (let call = 0; call < 1_000; call += 1) load.onCall(call % 10 === 0);
-    let marked = 0;
-    for (let answer = 0; answer < 1_000; answer += 1) if (load.drawCongested()) marked += 1;
-    expect(marked / 1_000).to.be.closeTo(0.1, 0.06);
+describe('the level of the calls at one place', () => {
+  it('is the part of them that is held up', () => {
+    const level = new CongestionLevel(new VirtualClock());
+    for (let call = 0; call < 1_000; call += 1) level.onCall(call % 10 === 0 ? 1 : 0);
+    expect(level.current()).to.be.closeTo(0.1, 0.06);
   });
 
   it('is forgotten when no more calls are made', () => {
     const clock = new VirtualClock();
-    const load = new DownstreamLoad(clock, new SeededRandom(1));
-    for (let call = 0; call < 100; call += 1) load.onCall(true);
+    const level = new CongestionLevel(clock);
+    for (let call = 0; call < 100; call += 1) level.onCall(1);
+    expect(level.current()).to.be.above(0.9);
     clock.advance(20_000);
-    expect(load.drawCongested()).to.equal(false);
+    expect(level.current()).to.be.below(0.001);
+  });
+});
+
+describe('the throttle by levels', () => {
+  /** What is left of a lane after answers with one level, sent at a rate for some time. */
+  function left(options: { level: number; tolerated: number; perSecond: number; forMs: number }) {
+    const throttle = new LevelThrottle(new SeededRandom(1));
+    const gapMs = 1_000 / options.perSecond;
+    let now = 0;
+    for (; now < options.forMs; now += gapMs) {
+      const { level: congestion, tolerated } = options;
+      throttle.onAnswer('lane', now, { overloaded: false, congestion, tolerated });
+    }
+    return { throttle, now, fraction: 1 / throttle.pressure('lane', now) };
+  }
+
+  it('holds callers with few calls back as much as those with many', () => {
+    const overload = { level: 0.9, tolerated: 0.15, forMs: 4_000 };
+    const few = left({ ...overload, perSecond: 3 }).fraction;
+    const many = left({ ...overload, perSecond: 300 }).fraction;
+    expect(many).to.be.below(0.05);
+    expect(few).to.be.below(2.5 * many);
+  });
+
+  it('leaves urgent lanes alone at a level that holds the others back', () => {
+    const level = { level: 0.5, perSecond: 20, forMs: 5_000 };
+    expect(left({ ...level, tolerated: 0.8 }).fraction).to.equal(1);
+    expect(left({ ...level, tolerated: 0.15 }).fraction).to.be.below(0.2);
+  });
+
+  it('lets a lane return when the level falls, and without answers', () => {
+    const overload = { level: 1, tolerated: 0.15, perSecond: 20, forMs: 4_000 };
+    const { throttle, now } = left(overload);
+    for (let at = now; at < now + 12_000; at += 50) {
+      throttle.onAnswer('lane', at, { overloaded: false, congestion: 0, tolerated: 0.15 });
+    }
+    expect(throttle.pressure('lane', now + 12_000)).to.equal(1);
+    const silent = left(overload);
+    expect(silent.throttle.pressure('lane', silent.now + 15_000)).to.equal(1);
   });
 });
 
--- a/test/call/ingress-stop.test.ts
+++ b/test/call/ingress-stop.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { request } from 'undici';
-import { DownstreamLoad } from '../../src/admission/downstream-load.js';
+import { CongestionLevel } from '../../src/admission/congestion-level.js';
 import { CallStats } from '../../src/call/call-stats.js';
 import { IngressServer, type IngressServerOptions } from '../../src/call/ingress-server.js';
 import { RequestJournal } from '../../src/call/request-journal.js';
@@ -41,6 +41,7 @@
           type: 'refused',
           refusal: { reason: 'unavailable', verdict: 'not-run', retryAfterSeconds: 1, detail: '' },
           overloaded: false,
+          congestion: 0,
           nested: false,
         });
       },
@@ -64,7 +65,7 @@
       table: () => table,
       stopPhase: () => phase,
       journal: new RequestJournal(clock, SILENT_LOGGER),
-      downstream: new DownstreamLoad(clock, random),
+      downstream: new CongestionLevel(clock),
       nestedRoutes: new Set(['target']),
     });
     server = createServer(ingress.handle);
@@ -110,5 +111,6 @@
   type: 'refused';
   refusal: { reason: 'unavailable'; verdict: 'not-run'; retryAfterSeconds: number; detail: string };
   overloaded: boolean;
+  congestion: number;
   nested: boolean;
 }) => void;
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -125,6 +125,7 @@
       overloaded: fc.boolean(),
       nested: fc.boolean(),
       unspentRetries: fc.nat(9),
+      congestion: fc.double({ min: 0, max: 1, noNaN: true }),
       load: fc.option(fc.record({ inFlight: fc.nat(), limit: fc.nat() }), { nil: undefined }),
     });
     const body = fc.uint8Array().map((bytes) => Buffer.from(bytes));
