--- a/src/admission/congestion-level.ts
+++ b/src/admission/congestion-level.ts
@@ -6,9 +6,13 @@
  */
 import type { Clock } from '../common/clock.js';
 
-/** Weight of one call in the average. */
+/** Least weight of one call in the average. */
 const CALL_WEIGHT = 0.05;
-/** Without calls, what was learned fades with this time constant, in milliseconds. */
+/** Where calls are rare each stands for the time since the one before, against this, in milliseconds. */
+const AVERAGE_MS = 400;
+/** Without calls for this long, what was learned fades, in milliseconds. */
+const SILENCE_MS = 300;
+/** Time constant of fading, in milliseconds. */
 const MEMORY_MS = 1_000;
 
 export class CongestionLevel {
@@ -20,12 +24,15 @@
   /** A call ended. @param congestion from 0, not held up, to 1, refused for overload or held up */
   onCall(congestion: number): void {
     const before = this.current();
-    this.learnedAt = this.clock.now();
-    this.level = before + CALL_WEIGHT * (congestion - before);
+    const now = this.clock.now();
+    const weight = Math.max(CALL_WEIGHT, 1 - Math.exp((this.learnedAt - now) / AVERAGE_MS));
+    this.learnedAt = now;
+    this.level = before + weight * (congestion - before);
   }
 
   /** The level now, from 0 to 1. */
   current(): number {
-    return this.level * Math.exp((this.learnedAt - this.clock.now()) / MEMORY_MS);
+    const silentMs = this.clock.now() - this.learnedAt - SILENCE_MS;
+    return silentMs <= 0 ? this.level : this.level * Math.exp(-silentMs / MEMORY_MS);
   }
 }
--- a/test/admission/early-refusal.test.ts
+++ b/test/admission/early-refusal.test.ts
@@ -17,6 +17,18 @@
     expect(level.current()).to.be.closeTo(0.1, 0.06);
   });
 
+  it('does not depend on how many calls there are', () => {
+    for (const gapMs of [1, 20, 150]) {
+      const clock = new VirtualClock();
+      const level = new CongestionLevel(clock);
+      for (let at = 0; at < 5_000; at += gapMs) {
+        level.onCall(1);
+        clock.advance(gapMs);
+      }
+      expect(level.current()).to.be.above(0.9);
+    }
+  });
+
   it('is forgotten when no more calls are made', () => {
     const clock = new VirtualClock();
     const level = new CongestionLevel(clock);
