Tell a gate's own level only to nested calls; wait for nested calls as before

Shorter waits fail parents whose work is done already; ranked-search is refused early for a level of lookups that share its rank, though refusing it at its gate costs nothing. Failed try, reverted here: shorter nested waits. Change: a gate's own level goes to callers of nested calls only; rank 0 tolerates 0.95, rank 1 0.6. Tests: congestion, admission and programs passed; one case is new.

--- a/src/call/gate-server.ts
+++ b/src/call/gate-server.ts
@@ -26,11 +26,7 @@
   readonly origins: OriginTracker;
 }
 
-/**
- * Part of its remaining time that a call of a target may wait, since its caller's work is lost with it.
- * Only while few calls are held up: under lasting overload long waits help nobody, and the callers
- * that wait for them hold slots of their own targets.
- */
+/** Part of its remaining time that a call of a target may wait: its caller's work is lost with it. */
 const NESTED_WAIT_FRACTION = 0.7;
 /**
  * Part of its bound after which a call that waits reports congestion. A request may pass many gates one
@@ -47,16 +43,10 @@
     const { context: frame, headers } = call.frame;
     origins.onCall(frame.kind, headerOf(headers, transport.names.callingService) ?? '');
     const nested = origins.isNested(frame.kind);
-    const patienceMs = nested ? this.nestedPatienceMs(frame) : 0;
+    const patienceMs = nested ? frame.deadlineMs * NESTED_WAIT_FRACTION : 0;
     const context = contextOf(frame, patienceMs, services.clock.now());
     new GateExchange(this.options, call, context, nested).start();
   };
-
-  /** How long a call of a target may wait, in milliseconds. */
-  private nestedPatienceMs({ importance, deadlineMs }: CallFrameContext): number {
-    const level = this.options.services.queueLevels?.[importance]?.current() ?? 0;
-    return deadlineMs * NESTED_WAIT_FRACTION * (1 - level);
-  }
 }
 
 function contextOf(frame: CallFrameContext, patienceMs: number, now: number): CallContext {
--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -151,14 +151,20 @@
     };
   }
 
-  /** The level of what waits here and below, where this process keeps it. */
+  /**
+   * The level of what waits here and below, where this process keeps it. What waits here concerns
+   * those that work is lost with: callers of nested calls. A client's request that is refused here has
+   * cost nothing yet, so it need not be refused any earlier.
+   */
   private congestion(): Pick<Outcome, 'congestion'> {
     const { downstreamLevel, kindImpact } = this.services;
     const { queueLevel } = this;
     if (queueLevel === undefined) return {};
     const impact = kindImpact?.of(this.context.kind) ?? 1;
     const below = impact * (downstreamLevel?.() ?? 0);
-    return { congestion: Math.max(queueLevel.current(), below) };
+    return {
+      congestion: this.options.nested === true ? Math.max(queueLevel.current(), below) : below,
+    };
   }
 
   private loadReport(): LoadReport {
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -52,7 +52,7 @@
  * Part of the calls below that may be held up before requests of a route are refused early, by
  * importance, least first: the less urgent ones are to make room first.
  */
-const TOLERATED_BY_IMPORTANCE: readonly number[] = [0.1, 0.15, 0.4, 0.8];
+const TOLERATED_BY_IMPORTANCE: readonly number[] = [0.1, 0.15, 0.6, 0.95];
 /** An answer that takes this multiple of the usual time is taken for lost. */
 const OVERDUE_FACTOR = 6;
 /** Targets that are tried after one has refused for overload. */
--- a/test/call/inbound-congestion.test.ts
+++ b/test/call/inbound-congestion.test.ts
@@ -13,8 +13,12 @@
 const WAIT_MS = 20;
 
 describe('the congestion that an answer of a gate tells', () => {
-  /** Sends a call of an importance that waits before it is let in. @returns what its answer tells */
-  function afterWaiting(waiting: Importance, asked: Importance): number | undefined {
+  /** Lets nested calls of one importance wait. @returns what the answer to a call then tells */
+  function afterWaiting(
+    waiting: Importance,
+    asked: Importance,
+    isNested = true,
+  ): number | undefined {
     const clock = new VirtualClock();
     const limiter = new SlotLimiter(1);
     limiter.setSlots(1);
@@ -47,7 +51,7 @@
           return { written: true, cancel: () => undefined };
         },
       };
-      const options = { congestedAfterMs: WAIT_MS / 2 };
+      const options = { congestedAfterMs: WAIT_MS / 2, nested: isNested };
       const call = new InboundCall(context, undefined, services, transport, () => {}, options);
       call.start();
       return call;
@@ -72,6 +76,10 @@
     expect(afterWaiting(1, 1)).to.be.above(0.9);
   });
 
+  it('is none for a request of a client, which has cost nothing when it is refused here', () => {
+    expect(afterWaiting(1, 1, false)).to.equal(0);
+  });
+
   it('is none for urgent calls, which pass those that wait', () => {
     expect(afterWaiting(1, 2)).to.equal(0);
   });
