--- /dev/null
+++ b/test/cli/launch.test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai';
+import { execFile } from 'node:child_process';
+import { existsSync } from 'node:fs';
+import { mkdtemp, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+const LAUNCH = fileURLToPath(new URL('../../src/cli/launch.js', import.meta.url));
+const BUNDLE = `
+exports.run = async (args) => { console.log('ran ' + args.join(' ')); };
+exports.loadAll = async () => { console.log('loaded'); };
+`;
+
+interface Ended {
+  readonly failed: boolean;
+  readonly out: string;
+  readonly err: string;
+}
+
+async function launch(...args: string[]): Promise<Ended> {
+  return new Promise((resolve) => {
+    execFile(process.execPath, [LAUNCH, ...args], (error, out, err) =>
+      resolve({ failed: error !== null, out: out.trim(), err }),
+    );
+  });
+}
+
+describe('the launcher of a bundle', () => {
+  let bundle: string;
+  beforeEach(async () => {
+    bundle = join(await mkdtemp(join(tmpdir(), 'shoredoor-')), 'main.cjs');
+    await writeFile(bundle, BUNDLE);
+  });
+
+  it('runs a bundle with its arguments, with and without a cache', async () => {
+    expect((await launch(bundle, 'sidecar', 'file')).out).to.equal('ran sidecar file');
+    expect((await launch('--write-cache', bundle)).out).to.equal('loaded');
+    expect(existsSync(`${bundle}.cache`)).to.equal(true);
+    expect((await launch(bundle, 'sidecar', 'file')).out).to.equal('ran sidecar file');
+  });
+
+  it('passes over a cache that is damaged or of another bundle', async () => {
+    await launch('--write-cache', bundle);
+    await writeFile(bundle, BUNDLE.replace('ran ', 'changed '));
+    expect((await launch(bundle, 'x')).out).to.equal('changed x');
+    await writeFile(`${bundle}.cache`, 'damaged');
+    expect((await launch(bundle, 'x')).out).to.equal('changed x');
+  });
+
+  it('fails with a clear error where there is no bundle', async () => {
+    const { failed, err } = await launch(`${bundle}.missing`);
+    expect(failed).to.equal(true);
+    expect(err).to.match(/^shoredoor: .*ENOENT/);
+  });
+});
