--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -236,9 +236,8 @@
   }
 
   private learnImpact(status: number): void {
-    const { kindImpact, downstreamLevel, clock } = this.services;
-    const level = downstreamLevel?.() ?? 0;
-    kindImpact?.onAnswer(this.context.kind, clock.now() - this.admittedAt, status, level);
+    const { kindImpact, clock } = this.services;
+    kindImpact?.onAnswer(this.context.kind, clock.now() - this.admittedAt, status);
   }
 
   private onFaultyAnswer(fault: AnswerFault): void {
