--- a/test/admission/early-refusal.test.ts
+++ b/test/admission/early-refusal.test.ts
@@ -1,12 +1,10 @@
 import { expect } from 'chai';
-import { AdmissionController } from '../../src/admission/admission-controller.js';
 import { CongestionLevel } from '../../src/admission/congestion-level.js';
 import { KindImpact } from '../../src/admission/kind-impact.js';
 import { LevelThrottle } from '../../src/admission/level-throttle.js';
 import { OverloadThrottle } from '../../src/admission/overload-throttle.js';
-import { SHARING_ORDERS } from '../../src/admission/sharing-policy.js';
-import { SlotLimiter } from '../../src/admission/slot-limiter.js';
 import { SeededRandom } from '../../src/common/random.js';
+import { oneSlotAdmission } from '../support/slot-gate.js';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import type { Importance } from '../../src/policy/importance.js';
 
@@ -136,17 +134,7 @@
 describe('the queue of a gate', () => {
   function gate() {
     const clock = new VirtualClock();
-    const limiter = new SlotLimiter(1);
-    limiter.setSlots(1);
-    const controller = new AdmissionController({
-      clock,
-      random: new SeededRandom(1),
-      limiter,
-      order: SHARING_ORDERS['importance-first'],
-      shareOf: () => 1,
-      totalShare: () => 1,
-      queueWaitMs: () => 1_000,
-    });
+    const controller = oneSlotAdmission(clock);
     const events: string[] = [];
     const release: (() => void)[] = [];
     const offer = (kind: string, importance: Importance, waitUntil: number): void => {
--- a/test/call/inbound-congestion.test.ts
+++ b/test/call/inbound-congestion.test.ts
@@ -1,11 +1,8 @@
 import { expect } from 'chai';
-import { AdmissionController } from '../../src/admission/admission-controller.js';
 import { CongestionLevel } from '../../src/admission/congestion-level.js';
-import { SHARING_ORDERS } from '../../src/admission/sharing-policy.js';
-import { SlotLimiter } from '../../src/admission/slot-limiter.js';
 import { InboundCall } from '../../src/call/inbound-call.js';
 import type { AttemptListener } from '../../src/call/transport.js';
-import { SeededRandom } from '../../src/common/random.js';
+import { oneSlotAdmission } from '../support/slot-gate.js';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import { NO_CLAIMS } from '../../src/dedup/no-claims.js';
 import { IMPORTANCE_COUNT, type Importance } from '../../src/policy/importance.js';
@@ -20,17 +17,7 @@
     isNested = true,
   ): number | undefined {
     const clock = new VirtualClock();
-    const limiter = new SlotLimiter(1);
-    limiter.setSlots(1);
-    const admission = new AdmissionController({
-      clock,
-      random: new SeededRandom(1),
-      limiter,
-      order: SHARING_ORDERS['importance-first'],
-      shareOf: () => 1,
-      totalShare: () => 1,
-      queueWaitMs: () => 1_000,
-    });
+    const admission = oneSlotAdmission(clock);
     const queueLevels = Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock));
     const services = { clock, admission, claims: NO_CLAIMS, isLeaving: () => false, queueLevels };
     const listeners: AttemptListener[] = [];
--- /dev/null
+++ b/test/support/slot-gate.ts
@@ -0,0 +1,20 @@
+/** The admission of a sidecar in virtual time, for a target with one slot. */
+import { AdmissionController } from '../../src/admission/admission-controller.js';
+import { SHARING_ORDERS } from '../../src/admission/sharing-policy.js';
+import { SlotLimiter } from '../../src/admission/slot-limiter.js';
+import { SeededRandom } from '../../src/common/random.js';
+import type { VirtualClock } from '../../src/common/virtual-clock.js';
+
+export function oneSlotAdmission(clock: VirtualClock): AdmissionController {
+  const limiter = new SlotLimiter(1);
+  limiter.setSlots(1);
+  return new AdmissionController({
+    clock,
+    random: new SeededRandom(1),
+    limiter,
+    order: SHARING_ORDERS['importance-first'],
+    shareOf: () => 1,
+    totalShare: () => 1,
+    queueWaitMs: () => 1_000,
+  });
+}
