Move the phases of a stop to the call modules

Cause: read once more: src/call/ingress-server.ts imported src/programs, the only import against the direction in which programs wire the parts. Ruled out: any change of behaviour; the file is the same, three imports differ. Tests: type check, linter; the stop of the ingress and the sidecar, 17 passed.

--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -13,7 +13,7 @@
 import type { Route } from '../policy/route-table.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
 import type { WeightedSplit } from '../routing/weighted-split.js';
-import { StopPhase } from '../programs/stop-phase.js';
+import { StopPhase } from './stop-phase.js';
 import { contextName, type CallContext } from './call-context.js';
 import type { CallStats } from './call-stats.js';
 import type { OutboundCall, OutboundResult } from './outbound-call.js';
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -39,7 +39,7 @@
 import { WeightedSplit } from '../routing/weighted-split.js';
 import type { SidecarSettings } from '../settings/schemas.js';
 import { delay, within, type Program } from './program.js';
-import { StopPhase, stopTimes } from './stop-phase.js';
+import { StopPhase, stopTimes } from '../call/stop-phase.js';
 
 /** What a deployment may have in its own way. */
 export interface SidecarVariations {
--- a/test/call/ingress-stop.test.ts
+++ b/test/call/ingress-stop.test.ts
@@ -15,7 +15,7 @@
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
 import { PolicyTable } from '../../src/policy/policy-table.js';
 import type { Resource } from '../../src/policy/resource-schema.js';
-import { StopPhase } from '../../src/programs/stop-phase.js';
+import { StopPhase } from '../../src/call/stop-phase.js';
 import { WeightedSplit } from '../../src/routing/weighted-split.js';
 
 function route(name: string): Resource {
