--- /dev/null
+++ b/test/follower/forgotten-connection.test.ts
@@ -0,0 +1,105 @@
+/**
+ * A control machine that loses power forgets its connections and resets nothing. What it accepts
+ * afterwards must be in force at its followers in time.
+ */
+import { expect } from 'chai';
+import { request } from 'undici';
+import { freePorts } from '../../lab/fleet/free-ports.js';
+import { SILENT_LOGGER } from '../../src/observe/logger.js';
+import { startControl } from '../../src/programs/control-program.js';
+import { startSidecar } from '../../src/programs/sidecar-program.js';
+import { controlSettingsSchema, sidecarSettingsSchema } from '../../src/settings/schemas.js';
+import { LoopbackProxy } from '../support/loopback-proxy.js';
+import { Cleanup, planReplicas, until } from '../support/processes.js';
+
+const ANY_ADDRESS = '127.0.0.1:0';
+const LINK_TOKEN = 'test-link-token-0123456789';
+/** A confirmed change is in force everywhere within this time: the promise of docs/PROOFS.md. */
+const IN_FORCE_MS = 2_000;
+
+describe('a sidecar whose control machine has lost power', function () {
+  this.timeout(20_000);
+  const cleanup = new Cleanup();
+  let proxy: LoopbackProxy;
+  let ingressOrigin: string;
+
+  beforeEach(async () => {
+    const [place] = await planReplicas(1);
+    const [port] = await freePorts(1);
+    proxy = await LoopbackProxy.start(port!);
+    cleanup.add(() => proxy.stop());
+    const control = await startControl(
+      controlSettingsSchema.parse({
+        id: 'control-1',
+        zone: 'zone-a',
+        admin: ANY_ADDRESS,
+        listen: `127.0.0.1:${port}`,
+        advertise: proxy.origin,
+        seeds: [proxy.origin],
+        bootstrap: true,
+        dataDir: place!.dataDir,
+        electionTimeoutMs: 100,
+        declarations: 'open',
+        linkToken: LINK_TOKEN,
+      }),
+      SILENT_LOGGER,
+    );
+    cleanup.add(() => control.stop());
+    await until(() => declare(1, 0, 'first'));
+    const sidecar = await startSidecar(
+      sidecarSettingsSchema.parse({
+        id: 'sidecar-1',
+        zone: 'zone-a',
+        service: 'ledger',
+        inbound: ANY_ADDRESS,
+        outbound: ANY_ADDRESS,
+        registration: ANY_ADDRESS,
+        admin: ANY_ADDRESS,
+        control: [proxy.origin],
+        heartbeatIntervalMs: 1_000,
+        linkToken: LINK_TOKEN,
+        stop: { drainMs: 0, timeoutMs: 0 },
+      }),
+      SILENT_LOGGER,
+    );
+    cleanup.add(() => sidecar.stop());
+    ingressOrigin = sidecar.origins.outbound!;
+    await until(() => knows('first'));
+  });
+
+  afterEach(() => cleanup.run());
+
+  /** Declares a set whose one route has `name`; false while control has no leader. */
+  async function declare(version: number, base: number, name: string): Promise<boolean> {
+    const limits = { timeoutMs: 2_000, objectiveMs: 1_000, rank: 0, maxTargets: 1 };
+    const place = { host: 'shop.example', pathPrefix: `/${name}/`, service: 'ledger' };
+    const spec = { ...place, semantics: 'repeatable', ...limits };
+    const resources = [
+      { kind: 'Route', name, spec },
+      { kind: 'Service', name: 'ledger', spec: { connections: 8 } },
+    ];
+    const response = await request(`${proxy.origin}/v1/declarations`, {
+      method: 'PUT',
+      headers: { 'if-match': String(base), connection: 'close' },
+      body: JSON.stringify({ version, resources }),
+    });
+    await response.body.dump();
+    return response.statusCode === 200;
+  }
+
+  /** Whether the sidecar has the route `name`. No target serves it, and the answer says so. */
+  async function knows(name: string): Promise<boolean> {
+    const response = await request(`${ingressOrigin}/${name}/1`, {
+      headers: { host: 'shop.example' },
+    });
+    return (await response.body.text()).includes('urn:shoredoor:problem:unavailable');
+  }
+
+  it('applies what control accepts afterwards in time', async () => {
+    proxy.forgetConnections();
+    expect(await declare(2, 1, 'second')).to.equal(true);
+    const confirmedAt = performance.now();
+    await until(() => knows('second'));
+    expect(performance.now() - confirmedAt).to.be.below(IN_FORCE_MS);
+  });
+});
--- a/test/support/root-hooks.ts
+++ b/test/support/root-hooks.ts
@@ -1,4 +1,34 @@
-/** What every test needs before it runs. */
+/** What every test needs before it runs, and which tests CI passes over. */
+import type { Context } from 'mocha';
+import { existsSync, readFileSync } from 'node:fs';
 import { prepareHashing } from '../../src/common/rendezvous-hash.js';
 
-export const mochaHooks = { beforeAll: prepareHashing };
+/** A line each: the test's full title, the cause, the issue. */
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const SEPARATOR = ' | ';
+const MAX_KNOWN_RED = 3;
+/** Set by the CI script: elsewhere these tests run and fail. */
+const PASS_OVER = process.env.PASS_OVER_KNOWN_RED === 'true';
+
+const knownRed = PASS_OVER && existsSync(KNOWN_RED_FILE) ? readKnownRed() : [];
+
+function readKnownRed(): string[] {
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n').filter(Boolean);
+  if (lines.length > MAX_KNOWN_RED) {
+    throw new Error(
+      `${KNOWN_RED_FILE} names ${lines.length} tests, at most ${MAX_KNOWN_RED} may be`,
+    );
+  }
+  return lines;
+}
+
+/** Passes over a test that is known to fail, and says so. */
+function passOverKnownRed(this: Context): void {
+  const title = this.currentTest?.fullTitle();
+  const line = knownRed.find((each) => each.split(SEPARATOR)[0] === title);
+  if (line === undefined) return;
+  process.stdout.write(`known red, passed over: ${line}\n`);
+  this.skip();
+}
+
+export const mochaHooks = { beforeAll: prepareHashing, beforeEach: passOverKnownRed };
