Send a sync again that waits in vain

A machine that loses power resets no connection, so after all control machines had lost power and were back each sidecar waited on a connection that no replica knew, while its heartbeats were answered with the new revision. Heartbeats compared replicas with each other, never with what is in force here. Class: a wait whose only bound is longer than the promise that rests on it, although the process hears elsewhere that it waits in vain.

Change: heartbeats' answers also tell where the replica's endpoint list stands and its start. A sync is sent again when the replica left a heartbeat unanswered since, was restarted, or told of news that the sync has not brought 250 ms later. When no replica answers a heartbeat it is repeated at once on new connections. Connections to control are given up after 500 ms in place of 10 s, since a lost opening packet is repeated after seconds only. A sync that was ended on purpose follows at once.

The fake of follower.test.ts ended an aborted sync as timed out; the link's contract is 'aborted'.

--- a/src/control/follower-api.ts
+++ b/src/control/follower-api.ts
@@ -49,13 +49,16 @@
       writeStatus(response, STATUS_BAD_REQUEST);
       return;
     }
-    const { members, clock, store, notifier, log } = this.options;
+    const { members, clock, store, notifier, log, responder } = this.options;
     const { problem, origins } = log.status();
     const isCurrent = problem === undefined;
     const versionBefore = members.endpointVersion;
     const reply = members.onHeartbeat(heartbeat, clock.now(), store.revision, isCurrent, origins);
     if (members.endpointVersion !== versionBefore) notifier.notify();
-    writeMessage(response, reply);
+    writeMessage(
+      response,
+      reply.type === 'ok' ? { ...reply, endpoints: responder.endpointPosition } : reply,
+    );
   }
 
   private async sync(message: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/control/member-table.ts
+++ b/src/control/member-table.ts
@@ -4,6 +4,7 @@
  * loss of any replica.
  */
 import type { EndpointRecord, EndpointState } from '../routing/endpoint.js';
+import type { EndpointPosition } from './sync-protocol.js';
 
 /** What a process says of itself. */
 export interface Heartbeat {
@@ -32,6 +33,8 @@
       readonly isCurrent: boolean;
       /** Origins of all control replicas, as far as the replica knows them. */
       readonly controlOrigins?: readonly string[];
+      /** Where the replica's endpoint list stands; missing in answers of versions that don't tell. */
+      readonly endpoints?: EndpointPosition;
     }
   /** Another process with the same id is newer: this one must stop taking calls. */
   | { readonly type: 'superseded' };
--- a/src/control/sync-protocol.ts
+++ b/src/control/sync-protocol.ts
@@ -16,6 +16,13 @@
 /** The revision of a process that has just started and has none. */
 export const NO_REVISION = -1;
 
+/** A place in the endpoint list of one replica: versions count from each start of a replica anew. */
+export interface EndpointPosition {
+  /** Names the replica and its start. */
+  readonly source: string;
+  readonly version: number;
+}
+
 /** What a follower has. */
 export interface SyncRequest {
   /** Applied revision, or {@link NO_REVISION}. */
--- a/src/control/sync-responder.ts
+++ b/src/control/sync-responder.ts
@@ -2,7 +2,12 @@
 import type { Clock } from '../common/clock.js';
 import type { MemberTable } from './member-table.js';
 import type { ResourceStore } from './resource-store.js';
-import { NO_REVISION, type SyncRequest, type SyncResponse } from './sync-protocol.js';
+import {
+  NO_REVISION,
+  type EndpointPosition,
+  type SyncRequest,
+  type SyncResponse,
+} from './sync-protocol.js';
 
 export class SyncResponder {
   /** @param sourceId names this replica and its start, as `endpointSource` */
@@ -13,6 +18,11 @@
     private readonly sourceId: string,
   ) {}
 
+  /** Where this replica's endpoint list stands. */
+  get endpointPosition(): EndpointPosition {
+    return { source: this.sourceId, version: this.members.endpointVersion };
+  }
+
   /**
    * Whether this replica must prove that it is not behind before it answers: a process that has just
    * started knows no revision of its own to compare with.
--- a/src/follower/configuration-view.ts
+++ b/src/follower/configuration-view.ts
@@ -2,7 +2,12 @@
  * A follower's view of configuration and endpoints. Pure. Revisions only move forward: an answer
  * from a replica that is behind is ignored.
  */
-import { NO_REVISION, type SyncRequest, type SyncResponse } from '../control/sync-protocol.js';
+import {
+  NO_REVISION,
+  type EndpointPosition,
+  type SyncRequest,
+  type SyncResponse,
+} from '../control/sync-protocol.js';
 import {
   resourceIdOf,
   resourceKey,
@@ -59,6 +64,13 @@
     return this.endpoints.values();
   }
 
+  /** Whether a replica that stands at `revision` and `endpoints` has anything that is missing here. */
+  lacks(revision: number, endpoints: EndpointPosition | undefined): boolean {
+    if (revision > this.revision) return true;
+    if (endpoints?.source !== this.endpointSource) return false;
+    return endpoints.version > this.endpointVersion;
+  }
+
   /** What to ask for next. */
   request(): SyncRequest {
     return {
--- a/src/follower/control-client.ts
+++ b/src/follower/control-client.ts
@@ -1,8 +1,13 @@
 /** Sends internal messages to control replicas over HTTP. */
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 import { decodeMessage, encodeMessage, MSGPACK_TYPE } from '../common/message-codec.js';
 
 const STATUS_OK = 200;
+/**
+ * Longest time to make a connection. A lost opening packet is sent again after 1, 3 and 7 seconds only, so
+ * waiting for it would cost a replica that is back up to as long as it was gone.
+ */
+const CONNECT_TIMEOUT_MS = 500;
 
 /** Why a message got no answer. */
 export enum ExchangeFailure {
@@ -33,6 +38,8 @@
 }
 
 export class ControlClient implements ControlLink {
+  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+
   constructor(private readonly linkToken: string) {}
 
   /**
@@ -50,6 +57,7 @@
     const timeout = AbortSignal.timeout(timeoutMs);
     try {
       const response = await request(origin + path, {
+        dispatcher: this.agent,
         method: 'POST',
         headers: { authorization: `Bearer ${this.linkToken}`, 'content-type': MSGPACK_TYPE },
         body: encodeMessage(message),
--- a/src/follower/follower.ts
+++ b/src/follower/follower.ts
@@ -14,7 +14,7 @@
 import type { Logger } from '../observe/logger.js';
 import type { EndpointState } from '../routing/endpoint.js';
 import { ConfigurationView } from './configuration-view.js';
-import type { ControlLink, Exchange } from './control-client.js';
+import { ExchangeFailure, type ControlLink, type Exchange } from './control-client.js';
 import { SyncJournal } from './sync-journal.js';
 
 /** What a follower is made of. */
@@ -44,15 +44,28 @@
 /** Longest silence on a sync before another replica is asked. */
 const SYNC_TIMEOUT_MS = SYNC_HOLD_MS + 2_000;
 const RETRY_DELAY_MS = 200;
+/**
+ * Time that the answer to a sync may come later than that to a heartbeat which tells of the same news.
+ * The replica writes both within a few milliseconds; the rest is for a lost packet, sent again after 200 ms.
+ */
+const NEWS_GRACE_MS = 250;
 
 /** The answer of one replica to a heartbeat; undefined when there was none in time. */
 interface ReplicaReply {
   readonly origin: string;
   readonly reply: HeartbeatReply | undefined;
+  readonly timedOut: boolean;
+  /** Milliseconds until it came. */
+  readonly tookMs: number;
 }
 
 type CurrentReply = Extract<HeartbeatReply, { type: 'ok' }>;
 
+/** The answer of a replica that has a leader. */
+interface CurrentReplicaReply extends ReplicaReply {
+  readonly reply: CurrentReply;
+}
+
 export class Follower {
   readonly view = new ConfigurationView();
   private state: EndpointState;
@@ -67,6 +80,12 @@
   private newestRevision = 0;
   /** Ends the sync under way. */
   private syncAbort = new AbortController();
+  /** Start of the replica that the sync under way was sent to, once a heartbeat has told of it. */
+  private syncedStart: string | undefined;
+  /** Whether the followed replica has left a heartbeat unanswered since the sync was sent. */
+  private syncIsDoubtful = false;
+  /** Starts of the replicas by their origins, as heartbeats have told. */
+  private readonly toldStarts = new Map<string, string>();
   private readonly journal: SyncJournal;
 
   constructor(private readonly options: FollowerOptions) {
@@ -138,7 +157,8 @@
     this.heartbeatTimer = this.options.clock.schedule(this.heartbeatIntervalMs, () => this.beat());
   }
 
-  private async sendHeartbeats(): Promise<void> {
+  /** @param isRepeat whether it follows at once on one that no replica answered */
+  private async sendHeartbeats(isRepeat = false): Promise<void> {
     const heartbeat: Heartbeat = {
       ...this.options.identity(),
       state: this.state,
@@ -147,19 +167,30 @@
     const timeoutMs = this.heartbeatIntervalMs * HEARTBEAT_TIMEOUT_FRACTION;
     const replies = await Promise.all(
       this.origins.map(async (origin): Promise<ReplicaReply> => {
-        const { client } = this.options;
+        const { client, clock } = this.options;
+        const sentAt = clock.now();
         const sent = client.send<HeartbeatReply>(origin, HEARTBEAT_PATH, heartbeat, timeoutMs);
         const exchange = await sent;
-        return { origin, reply: exchange.type === 'answered' ? exchange.answer : undefined };
+        const reply = exchange.type === 'answered' ? exchange.answer : undefined;
+        const timedOut =
+          exchange.type === 'failed' && exchange.failure === ExchangeFailure.TimedOut;
+        return { origin, reply, timedOut, tookMs: clock.now() - sentAt };
       }),
     );
     this.judgeReplicas(replies);
+    // All kept connections may be dead; the next attempt makes new ones.
+    const isSilence = replies.every(({ reply }) => reply === undefined);
+    const mayRepeat = isSilence && replies.some(({ timedOut }) => timedOut);
+    if (mayRepeat && !isRepeat && !this.stopped) void this.sendHeartbeats(true);
     if (replies.some(({ reply }) => reply?.type === 'superseded')) this.options.onSuperseded();
   }
 
   /** Leaves a replica that is silent, has no leader, or is behind, while another one is well. */
   private judgeReplicas(replies: readonly ReplicaReply[]): void {
+    const followed = replies.find(({ origin }) => origin === this.origin);
+    if (followed?.timedOut === true) this.syncIsDoubtful = true;
     const current = replies.filter(isCurrent);
+    this.rememberStarts(current);
     const newest = current.sort((first, second) => second.reply.revision - first.reply.revision)[0];
     if (newest === undefined) {
       this.origins = merged(this.origins, this.seeds);
@@ -171,7 +202,10 @@
     const own = current.find(({ origin }) => origin === this.origin);
     const isBehind = own !== undefined && this.isBehind(own.reply);
     this.newestRevision = newest.reply.revision;
-    if (own !== undefined && !isBehind) return;
+    if (own !== undefined && !isBehind) {
+      this.checkSync(own);
+      return;
+    }
     this.options.logger.info('Another control replica is followed.', {
       left: this.origin,
       cause: isBehind ? 'behind' : 'silent or without a leader',
@@ -187,6 +221,45 @@
     return own.revision < newestRevision && this.view.appliedRevision < newestRevision;
   }
 
+  /**
+   * Ends the sync under way if it waits in vain. A replica whose machine has lost power, or a cut, resets
+   * no connection: the sync would wait for its time limit, while heartbeats are answered again. These
+   * show it: one had gone unanswered, or they tell that the replica was restarted or has news that the
+   * sync would have brought.
+   */
+  private checkSync({ origin, reply, tookMs }: CurrentReplicaReply): void {
+    const { endpoints, revision } = reply;
+    const start = this.toldStarts.get(origin);
+    if (this.syncIsDoubtful) {
+      this.syncAgain('the replica had not answered a heartbeat');
+      return;
+    }
+    if (this.syncedStart !== undefined && this.syncedStart !== start) {
+      this.syncAgain('the replica was restarted');
+      return;
+    }
+    this.syncedStart = start;
+    if (!this.view.lacks(revision, endpoints)) return;
+    const sync = this.syncAbort;
+    this.options.clock.schedule(NEWS_GRACE_MS + tookMs, () => {
+      const isUnderWay = !this.stopped && this.syncAbort === sync;
+      if (isUnderWay && this.view.lacks(revision, endpoints)) {
+        this.syncAgain('the replica has news that it did not bring');
+      }
+    });
+  }
+
+  private rememberStarts(replies: readonly CurrentReplicaReply[]): void {
+    for (const { origin, reply } of replies) {
+      if (reply.endpoints !== undefined) this.toldStarts.set(origin, reply.endpoints.source);
+    }
+  }
+
+  private syncAgain(cause: string): void {
+    this.journal.onGivenUp(cause);
+    this.syncAbort.abort();
+  }
+
   private adoptOrigins(current: readonly { readonly reply: CurrentReply }[]): void {
     const told = current.flatMap(({ reply }) => reply.controlOrigins ?? []);
     if (told.length > 0) this.origins = [...new Set(told)];
@@ -196,11 +269,13 @@
     while (!this.stopped) {
       const { origin } = this;
       this.syncAbort = new AbortController();
+      this.syncedStart = this.toldStarts.get(origin);
+      this.syncIsDoubtful = false;
       this.journal.onSent(origin);
       const exchange = await this.sync(origin);
       this.journal.onEnd(exchange);
       if (exchange.type === 'answered') this.adopt(exchange.answer);
-      else {
+      else if (exchange.failure !== ExchangeFailure.Aborted) {
         if (this.origin === origin) this.origin = this.originAfter(origin);
         await new Promise<void>((resolve) => this.options.clock.schedule(RETRY_DELAY_MS, resolve));
       }
@@ -232,7 +307,7 @@
   }
 }
 
-function isCurrent(answer: ReplicaReply): answer is ReplicaReply & { reply: CurrentReply } {
+function isCurrent(answer: ReplicaReply): answer is CurrentReplicaReply {
   return answer.reply?.type === 'ok' && answer.reply.isCurrent;
 }
 
--- a/src/follower/sync-journal.ts
+++ b/src/follower/sync-journal.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../observe/logger.js';
-import type { Exchange } from './control-client.js';
+import { ExchangeFailure, type Exchange } from './control-client.js';
 
 export class SyncJournal {
   private told = 0;
@@ -37,6 +37,12 @@
     this.sentAt = this.clock.now();
   }
 
+  /** The sync under way is ended for `cause`; another one follows. */
+  onGivenUp(cause: string): void {
+    const { origin, heldMs } = this;
+    this.logger.info('A sync is sent again.', { origin, heldMs, cause });
+  }
+
   /** The sync under way has ended. Of a row of failures the first is logged. */
   onEnd(exchange: Exchange<unknown>): void {
     const { origin, heldMs, failures } = this;
@@ -45,9 +51,11 @@
       this.failures = 0;
       return;
     }
+    const { failure, detail } = exchange;
+    // Whoever ended it has logged why.
+    if (failure === ExchangeFailure.Aborted) return;
     this.failures += 1;
     if (failures > 0) return;
-    const { failure, detail } = exchange;
     this.logger.info('A sync got no answer.', { origin, heldMs, failure, detail });
   }
 
--- a/test/follower/follower.test.ts
+++ b/test/follower/follower.test.ts
@@ -16,6 +16,11 @@
   failure: ExchangeFailure.TimedOut,
   detail: 'no answer in time',
 };
+const ABORTED: Exchange<never> = {
+  type: 'failed',
+  failure: ExchangeFailure.Aborted,
+  detail: 'ended by the caller',
+};
 
 function answered<Answer>(answer: Answer): Exchange<Answer> {
   return { type: 'answered', answer };
@@ -42,7 +47,7 @@
     }
     this.syncs.push(origin);
     return new Promise((resolve) => {
-      abort?.addEventListener('abort', () => resolve(TIMED_OUT));
+      abort?.addEventListener('abort', () => resolve(ABORTED));
       this.clock.schedule(timeoutMs, () => resolve(TIMED_OUT));
       if (origin === 'second' && this.syncs.length < 5) resolve(answered(news() as Answer));
     });
--- /dev/null
+++ b/test/follower/stale-sync.test.ts
@@ -0,0 +1,172 @@
+/** A sync that waits in vain is sent again, and one that waits for news is left alone. Virtual time. */
+import { expect } from 'chai';
+import { VirtualClock } from '../../src/common/virtual-clock.js';
+import type { HeartbeatReply } from '../../src/control/member-table.js';
+import { HEARTBEAT_PATH, type SyncResponse } from '../../src/control/sync-protocol.js';
+import {
+  ExchangeFailure,
+  type ControlLink,
+  type Exchange,
+} from '../../src/follower/control-client.js';
+import { Follower } from '../../src/follower/follower.js';
+import { SILENT_LOGGER } from '../../src/observe/logger.js';
+
+const HEARTBEAT_INTERVAL_MS = 1_000;
+/** A confirmed change is in force within this time of its confirmation. */
+const IN_FORCE_MS = 2_000;
+const STEP_MS = 25;
+/** Shorter than a replica may hold a sync. */
+const QUIET_MS = 9_000;
+
+function failed(failure: ExchangeFailure): Exchange<never> {
+  return { type: 'failed', failure, detail: failure };
+}
+
+/** One replica that answers the first sync, and later ones only when told to. */
+class OneReplica implements ControlLink {
+  revision = 1;
+  endpoints = { source: 'first-start', version: 1 };
+  /** Whether heartbeats get an answer. */
+  answersHeartbeats = true;
+  /** Virtual times at which syncs were sent. */
+  readonly syncTimes: number[] = [];
+  private answerHeld: ((exchange: Exchange<unknown>) => void) | undefined;
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  send<Answer>(
+    _origin: string,
+    path: string,
+    _message: unknown,
+    timeoutMs: number,
+    abort?: AbortSignal,
+  ): Promise<Exchange<Answer>> {
+    const timedOut = new Promise<Exchange<Answer>>((resolve) => {
+      this.clock.schedule(timeoutMs, () => resolve(failed(ExchangeFailure.TimedOut)));
+    });
+    if (path === HEARTBEAT_PATH) {
+      return this.answersHeartbeats ? Promise.resolve(this.heartbeatReply()) : timedOut;
+    }
+    this.syncTimes.push(this.clock.now());
+    const answer = new Promise<Exchange<Answer>>((resolve) => {
+      abort?.addEventListener('abort', () => resolve(failed(ExchangeFailure.Aborted)));
+      this.answerHeld = resolve as (exchange: Exchange<unknown>) => void;
+    });
+    if (this.syncTimes.length === 1) this.answerSync();
+    return Promise.race([answer, timedOut]);
+  }
+
+  /** Answers the sync that is held. */
+  answerSync(): void {
+    const { revision, endpoints } = this;
+    const answer: SyncResponse = {
+      revision,
+      resources: [],
+      changes: [],
+      endpointSource: endpoints.source,
+      endpointVersion: endpoints.version,
+      endpoints: [],
+      endpointChanges: [],
+    };
+    this.answerHeld?.({ type: 'answered', answer });
+  }
+
+  private heartbeatReply<Answer>(): Exchange<Answer> {
+    const { revision, endpoints } = this;
+    const answer: HeartbeatReply = { type: 'ok', revision, isCurrent: true, endpoints };
+    return { type: 'answered', answer: answer as Answer };
+  }
+}
+
+/** What happens to the replica while a sync is held, and whether the sync is to be sent again. */
+interface Case {
+  readonly name: string;
+  readonly happen: (replica: OneReplica, clock: VirtualClock) => void;
+  readonly isSentAgain: boolean;
+}
+
+const CASES: Case[] = [
+  {
+    name: 'the replica tells of a newer revision and the sync stays silent',
+    happen: (replica) => (replica.revision = 2),
+    isSentAgain: true,
+  },
+  {
+    name: 'the replica tells of newer endpoints and the sync stays silent',
+    happen: (replica) => (replica.endpoints = { source: 'first-start', version: 2 }),
+    isSentAgain: true,
+  },
+  {
+    name: 'the replica was restarted between two heartbeats',
+    happen: (replica) => (replica.endpoints = { source: 'second-start', version: 0 }),
+    isSentAgain: true,
+  },
+  {
+    name: 'the replica was gone for less than a heartbeat, and has nothing new',
+    happen: (replica, clock) => {
+      replica.answersHeartbeats = false;
+      clock.schedule(HEARTBEAT_INTERVAL_MS, () => (replica.answersHeartbeats = true));
+    },
+    isSentAgain: true,
+  },
+  {
+    name: 'the news come by the sync, a little later than by the heartbeat',
+    happen: (replica, clock) => {
+      replica.revision = 2;
+      clock.schedule(HEARTBEAT_INTERVAL_MS + 100, () => replica.answerSync());
+    },
+    isSentAgain: false,
+  },
+  { name: 'there are no news', happen: () => undefined, isSentAgain: false },
+];
+
+async function advance(clock: VirtualClock, durationMs: number): Promise<void> {
+  for (let passed = 0; passed < durationMs; passed += STEP_MS) {
+    clock.advance(STEP_MS);
+    for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
+  }
+}
+
+function createFollower(clock: VirtualClock, client: ControlLink): Follower {
+  return new Follower({
+    clock,
+    random: { next: () => 0, below: () => 0 },
+    client,
+    controlOrigins: ['only'],
+    heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+    logger: SILENT_LOGGER,
+    identity: () => ({
+      id: 'node-1',
+      role: 'node',
+      incarnation: 1,
+      zone: 'zone-a',
+      service: 'ledger',
+      origin: 'http://127.0.0.1:1',
+      claimEpoch: 0,
+    }),
+    onConfiguration: () => undefined,
+    onEndpoints: () => undefined,
+    onSuperseded: () => undefined,
+  });
+}
+
+describe('a held sync', () => {
+  for (const { name, happen, isSentAgain } of CASES) {
+    it(`is ${isSentAgain ? 'sent again' : 'left alone'} when ${name}`, async () => {
+      const clock = new VirtualClock();
+      const replica = new OneReplica(clock);
+      const follower = createFollower(clock, replica);
+      follower.start();
+      await advance(clock, HEARTBEAT_INTERVAL_MS + 2 * STEP_MS);
+      expect(replica.syncTimes).to.have.length(2);
+      const [, heldSince] = replica.syncTimes;
+      const happenedAt = clock.now();
+      happen(replica, clock);
+      await advance(clock, isSentAgain ? IN_FORCE_MS : QUIET_MS);
+      follower.stop();
+      const later = replica.syncTimes.filter((time) => time > heldSince!);
+      if (isSentAgain) expect(later[0]! - happenedAt).to.be.below(IN_FORCE_MS);
+      else expect(later.length).to.be.at.most(1);
+    });
+  }
+});
