Take the decisions of ingress and gate out of the servers

Pure functions in ingress-policy and gate-policy, so that a simulation can run the same decisions in virtual time.

--- a/src/call/gate-server.ts
+++ b/src/call/gate-server.ts
@@ -4,12 +4,11 @@
  */
 import { GateTransport, type GateTransportOptions } from '../http/gate-transport.js';
 import type { IncomingLinkCall } from '../link/link-server.js';
-import type { CallFrameContext } from '../link/link-frames.js';
-import { LOWEST_IMPORTANCE, parseImportance } from '../policy/importance.js';
 import { headerOf } from '../http/header-filter.js';
 import type { OriginTracker } from '../routing/origin-tracker.js';
 import type { CallContext } from './call-context.js';
 import type { CallStats } from './call-stats.js';
+import { gateContext, gateOptions } from './gate-policy.js';
 import { InboundCall, type InboundResult, type InboundServices } from './inbound-call.js';
 import type { Outcome } from './outcome.js';
 import type { RefusalReason } from './refusal.js';
@@ -26,14 +25,6 @@
   readonly origins: OriginTracker;
 }
 
-/** Part of its remaining time that a call of a target may wait: its caller's work is lost with it. */
-const NESTED_WAIT_FRACTION = 0.7;
-/**
- * Part of its bound after which a call that waits reports congestion. A request may pass many gates one
- * after the other, so its callers are to hear of short waits already.
- */
-const CONGESTED_WAIT_FRACTION = 0.3;
-
 export class GateServer {
   constructor(private readonly options: GateServerOptions) {}
 
@@ -43,26 +34,11 @@
     const { context: frame, headers } = call.frame;
     origins.onCall(frame.kind, headerOf(headers, transport.names.callingService) ?? '');
     const nested = origins.isNested(frame.kind);
-    const patienceMs = nested ? frame.deadlineMs * NESTED_WAIT_FRACTION : 0;
-    const context = contextOf(frame, patienceMs, services.clock.now());
+    const context = gateContext(frame, nested, services.clock.now());
     new GateExchange(this.options, call, context, nested).start();
   };
 }
 
-function contextOf(frame: CallFrameContext, patienceMs: number, now: number): CallContext {
-  const { requestId, group, kind, service, retries, deadlineMs, waitMs } = frame;
-  return {
-    requestId,
-    group,
-    kind,
-    service,
-    retries,
-    importance: parseImportance(String(frame.importance)) ?? LOWEST_IMPORTANCE,
-    deadlineAt: now + deadlineMs,
-    waitUntil: now + Math.max(waitMs, patienceMs),
-  };
-}
-
 /** One call under way through the gate. */
 class GateExchange {
   private readonly startedAt: number;
@@ -97,10 +73,7 @@
       services,
       new GateTransport(transport, context, incoming),
       (result) => this.onResult(call, result),
-      {
-        nested: this.nested,
-        congestedAfterMs: CONGESTED_WAIT_FRACTION * incoming.frame.context.waitMs,
-      },
+      gateOptions(incoming.frame.context, this.nested),
     );
     incoming.takeOutcome = (): Outcome => call.takeOutcome('ran', undefined);
     incoming.once('cancel', () => this.onCallerGone(call));
--- /dev/null
+++ b/src/call/ingress-policy.ts
@@ -0,0 +1,77 @@
+/** What an ingress decides about a request once it knows its route. Pure. */
+import type { Route } from '../policy/route-table.js';
+import { RetryAllowance } from '../retry/retry-allowance.js';
+import { contextName, type CallContext } from './call-context.js';
+import type { OutboundRequest, OutboundResult } from './outbound-call.js';
+
+/** All requests share one group: routes carry their rank, and clients no key. */
+const GROUP = 'default';
+/** Part of its objective that a request may wait to be let in: refused then, it can be sent again. */
+const WAIT_FRACTION = 0.25;
+/**
+ * Part of the calls below that may be held up before requests of a route are refused early, by
+ * importance, least first: the less urgent ones are to make room first.
+ */
+const TOLERATED_BY_IMPORTANCE: readonly number[] = [0.1, 0.15, 0.6, 0.95];
+/** An answer that takes this multiple of the usual time is taken for lost. */
+const OVERDUE_FACTOR = 6;
+/** Targets that are tried after one has refused for overload. */
+const OVERLOAD_REROUTES = 1;
+
+/** What a request brings besides its route. */
+export interface IngressArrival {
+  readonly requestId: string;
+  readonly service: string;
+  /** Milliseconds that the client will wait; undefined where it does not say. */
+  readonly wantedMs: number | undefined;
+  /** Monotonic milliseconds. */
+  readonly arrivedAt: number;
+}
+
+/** The context of a request of `route`. */
+export function ingressContext(route: Route, arrival: IngressArrival): CallContext {
+  const { requestId, service, arrivedAt } = arrival;
+  const wantedMs = arrival.wantedMs ?? route.timeoutMs;
+  return {
+    requestId,
+    group: GROUP,
+    kind: contextName(route.name),
+    importance: route.importance,
+    deadlineAt: arrivedAt + Math.min(wantedMs, route.timeoutMs),
+    retries: route.maxTargets - 1,
+    service,
+    waitUntil: arrivedAt + route.objectiveMs * WAIT_FRACTION,
+  };
+}
+
+/**
+ * How a request is sent.
+ * @param retryShare retries as a share of first attempts
+ * @param isNested whether targets make the calls of the route, as gates have said
+ */
+export function ingressRequest(
+  route: Route,
+  context: CallContext,
+  retryShare: number,
+  isNested: boolean,
+): OutboundRequest {
+  return {
+    lane: `${route.name}/${context.service}`,
+    repeatable: route.repeatable,
+    deadlineAt: context.deadlineAt,
+    retryRatio: retryShare,
+    allowance: new RetryAllowance(context.retries),
+    overloadReroutes: OVERLOAD_REROUTES,
+    // A call of the target is not refused early: what its caller has done would be lost.
+    throttled: !isNested,
+    overdueFactor: OVERDUE_FACTOR,
+    toleratedCongestion: TOLERATED_BY_IMPORTANCE[route.importance]!,
+  };
+}
+
+/** How congested a call that the target of this machine made was below, 0 to 1. */
+export function congestionOf(result: Exclude<OutboundResult, { type: 'broken' }>): number {
+  const isLost =
+    result.type === 'refused' && (result.overloaded || result.refusal.reason === 'deadline');
+  return isLost ? 1 : result.congestion;
+}
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -11,11 +11,11 @@
 import { deadlineOf, headerValue, type TargetHeaders } from '../http/target-headers.js';
 import type { PolicyTable } from '../policy/policy-table.js';
 import type { Route } from '../policy/route-table.js';
-import { RetryAllowance } from '../retry/retry-allowance.js';
 import type { WeightedSplit } from '../routing/weighted-split.js';
 import { StopPhase } from './stop-phase.js';
-import { contextName, type CallContext } from './call-context.js';
+import type { CallContext } from './call-context.js';
 import type { CallStats } from './call-stats.js';
+import { congestionOf, ingressContext, ingressRequest } from './ingress-policy.js';
 import type { OutboundCall, OutboundResult } from './outbound-call.js';
 import type { OutboundRouter } from './outbound-router.js';
 import type { Refusal, RefusalReason } from './refusal.js';
@@ -44,19 +44,6 @@
   readonly nestedRoutes: Set<string>;
 }
 
-/** All requests share one group: routes carry their rank, and clients no key. */
-const GROUP = 'default';
-/** Part of its objective that a request may wait to be let in: refused then, it can be sent again. */
-const WAIT_FRACTION = 0.25;
-/**
- * Part of the calls below that may be held up before requests of a route are refused early, by
- * importance, least first: the less urgent ones are to make room first.
- */
-const TOLERATED_BY_IMPORTANCE: readonly number[] = [0.1, 0.15, 0.6, 0.95];
-/** An answer that takes this multiple of the usual time is taken for lost. */
-const OVERDUE_FACTOR = 6;
-/** Targets that are tried after one has refused for overload. */
-const OVERLOAD_REROUTES = 1;
 const STATUS_HEADERS_TOO_LARGE = 431;
 /** Bytes of a header line besides name and value: colon, space, line end. */
 const HEADER_LINE_BYTES = 4;
@@ -139,37 +126,21 @@
   }
 
   private createContext(names: TargetHeaders): CallContext {
-    const { message, route, startedAt } = this;
-    const wantedMs = deadlineOf(names, message.headers) ?? route.timeoutMs;
-    return {
+    const { message, route, service, startedAt } = this;
+    return ingressContext(route, {
       requestId: headerValue(message.headers, names.requestId) ?? '',
-      group: GROUP,
-      kind: contextName(route.name),
-      importance: route.importance,
-      deadlineAt: startedAt + Math.min(wantedMs, route.timeoutMs),
-      retries: route.maxTargets - 1,
-      service: this.service,
-      waitUntil: startedAt + route.objectiveMs * WAIT_FRACTION,
-    };
+      service,
+      wantedMs: deadlineOf(names, message.headers),
+      arrivedAt: startedAt,
+    });
   }
 
   private send(body: RequestBody): void {
-    const { router, transport, retryShare } = this.options;
+    const { router, transport, retryShare, nestedRoutes } = this.options;
     const { context, route, service } = this;
     this.call = router.call(
       service,
-      {
-        lane: `${route.name}/${service}`,
-        repeatable: route.repeatable,
-        deadlineAt: context.deadlineAt,
-        retryRatio: retryShare,
-        allowance: new RetryAllowance(context.retries),
-        overloadReroutes: OVERLOAD_REROUTES,
-        // A call of the target is not refused early: what its caller has done would be lost.
-        throttled: !this.options.nestedRoutes.has(route.name),
-        overdueFactor: OVERDUE_FACTOR,
-        toleratedCongestion: TOLERATED_BY_IMPORTANCE[route.importance]!,
-      },
+      ingressRequest(route, context, retryShare, nestedRoutes.has(route.name)),
       new PeerTransport(transport, context, this.message, body, this.response),
       (result) => this.onResult(result),
     );
@@ -204,9 +175,7 @@
     const { nestedRoutes, downstream } = this.options;
     if (result.nested) nestedRoutes.add(this.route.name);
     if (!nestedRoutes.has(this.route.name)) return;
-    const isLost =
-      result.type === 'refused' && (result.overloaded || result.refusal.reason === 'deadline');
-    downstream.onCall(isLost ? 1 : result.congestion);
+    downstream.onCall(congestionOf(result));
   }
 
   private refuse(refusal: Refusal): void {
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -9,6 +9,7 @@
 import { SHARING_ORDERS } from '../admission/sharing-policy.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
 import { CallStats } from '../call/call-stats.js';
+import { QUEUE_WAIT_MS, SLOT_FRACTION } from '../call/gate-policy.js';
 import { GateServer } from '../call/gate-server.js';
 import { IngressServer } from '../call/ingress-server.js';
 import { OutboundRouter } from '../call/outbound-router.js';
@@ -48,10 +49,6 @@
 
 const DEFAULT_VARIATIONS: SidecarVariations = { headers: DEFAULT_TARGET_HEADERS };
 
-/** Part of a target's slots that is used. Some targets slow down when they are nearly full. */
-const SLOT_FRACTION = 0.95;
-/** Bounds the queue: every call carries a bound of its own on its wait. */
-const QUEUE_WAIT_MS = 1_000;
 /** The ingress takes larger headers than routes may allow, so that it can say what the limit is. */
 const MAX_HEADER_BYTES = 256 * 1024;
 
