--- /dev/null
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -0,0 +1,143 @@
+/**
+ * Runs a call graph of sidecars in virtual time under a demand that varies, and counts what clients
+ * got. A run depends on its seed alone.
+ */
+import { exponential, SeededRandom } from '../../../src/common/random.js';
+import { VirtualClock } from '../../../src/common/virtual-clock.js';
+import type { CallGraph, SimRoute } from './call-graph.js';
+import { SimSidecar, type SidecarNeighbours, type SimAnswer } from './sim-sidecar.js';
+
+/** A span of a run with its demand. */
+export interface DemandPhase {
+  readonly durationMs: number;
+  /** Multiple of the routes' usual demand. */
+  readonly factor: number;
+}
+
+/** What the clients of one route got. */
+export interface RouteResult {
+  sent: number;
+  /** Answered within the objective. */
+  inTime: number;
+  /** Answered later, and before the deadline. */
+  late: number;
+  refused: number;
+  failed: number;
+}
+
+const MILLISECONDS = 1_000;
+const STATUS_OK = 200;
+const STATUS_NOT_RUN = 503;
+/** A client heeds `Retry-After` for no more than this part of the time it has left. */
+const HEEDED_PART = 1 / 3;
+/** Time at the end of a run in which requests under way finish. */
+const SETTLE_MS = 10_000;
+
+export class SidecarWorld implements SidecarNeighbours {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  private readonly sidecars = new Map<string, SimSidecar>();
+  private readonly all: SimSidecar[] = [];
+  private readonly routes: Map<string, SimRoute>;
+  private results = new Map<string, RouteResult>();
+  private factor = 1;
+  private isOpen = true;
+
+  constructor(graph: CallGraph, seed: number) {
+    this.random = new SeededRandom(seed);
+    this.routes = new Map(graph.routes.map((each) => [each.route.name, each]));
+    for (const service of graph.services) {
+      for (let index = 0; index < service.targets; index += 1) {
+        const factor = service.workFactors[index % service.workFactors.length]!;
+        this.add(new SimSidecar(this, service, index, factor));
+      }
+    }
+    const records = this.all.map((sidecar) => sidecar.record);
+    for (const sidecar of this.all) sidecar.update(records);
+  }
+
+  route(name: string): SimRoute {
+    return this.routes.get(name)!;
+  }
+
+  sidecar(id: string): SimSidecar {
+    return this.sidecars.get(id)!;
+  }
+
+  /** Runs the phases one after the other. @returns for each what clients got that began in it */
+  run(phases: readonly DemandPhase[]): Map<string, RouteResult>[] {
+    for (const each of this.routes.values()) {
+      if (each.perSecond > 0) this.scheduleNext(each);
+    }
+    const results = phases.map((phase) => {
+      this.factor = phase.factor;
+      this.results = new Map();
+      this.clock.advance(phase.durationMs);
+      return this.results;
+    });
+    this.isOpen = false;
+    this.clock.advance(SETTLE_MS);
+    return results;
+  }
+
+  private add(sidecar: SimSidecar): void {
+    this.sidecars.set(sidecar.record.id, sidecar);
+    this.all.push(sidecar);
+  }
+
+  private scheduleNext(route: SimRoute): void {
+    const meanMs = MILLISECONDS / (route.perSecond * this.factor);
+    this.clock.schedule(exponential(this.random, meanMs), () => {
+      if (!this.isOpen) return;
+      this.scheduleNext(route);
+      this.begin(route);
+    });
+  }
+
+  private begin(route: SimRoute): void {
+    const result = this.resultOf(route.route.name);
+    result.sent += 1;
+    this.attempt(route, result, this.clock.now(), route.clientRetries);
+  }
+
+  private attempt(route: SimRoute, result: RouteResult, startedAt: number, retries: number): void {
+    const leftMs = startedAt + route.deadlineMs - this.clock.now();
+    const ingress = this.all[this.random.below(this.all.length)]!;
+    ingress.ingress(route, leftMs, (answer) =>
+      this.onAnswer(route, result, startedAt, retries, answer),
+    );
+  }
+
+  private onAnswer(
+    route: SimRoute,
+    result: RouteResult,
+    startedAt: number,
+    retries: number,
+    { status, retryAfterSeconds }: SimAnswer,
+  ): void {
+    const tookMs = this.clock.now() - startedAt;
+    if (status === STATUS_OK) {
+      if (tookMs <= route.route.objectiveMs) result.inTime += 1;
+      else result.late += 1;
+      return;
+    }
+    const leftMs = route.deadlineMs - tookMs;
+    const mayRepeat = route.route.repeatable || status === STATUS_NOT_RUN;
+    if (retries > 0 && mayRepeat && leftMs > 0) {
+      const waitMs = Math.min(retryAfterSeconds * MILLISECONDS, leftMs * HEEDED_PART);
+      this.clock.schedule(waitMs, () => this.attempt(route, result, startedAt, retries - 1));
+      return;
+    }
+    if (status === STATUS_NOT_RUN) result.refused += 1;
+    else result.failed += 1;
+  }
+
+  private resultOf(name: string): RouteResult {
+    let result = this.results.get(name);
+    if (result === undefined) {
+      result = { sent: 0, inTime: 0, late: 0, refused: 0, failed: 0 };
+      this.results.set(name, result);
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -0,0 +1,277 @@
+/**
+ * One simulated machine: a target, and the sidecar beside it with the product's own decisions at its
+ * ingress and its gate. Links between machines take a fixed time and lose nothing.
+ */
+import { AdmissionController } from '../../../src/admission/admission-controller.js';
+import { CongestionLevel } from '../../../src/admission/congestion-level.js';
+import { KindImpact } from '../../../src/admission/kind-impact.js';
+import { LevelThrottle } from '../../../src/admission/level-throttle.js';
+import { SHARING_ORDERS } from '../../../src/admission/sharing-policy.js';
+import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
+import {
+  gateContext,
+  gateOptions,
+  QUEUE_WAIT_MS,
+  SLOT_FRACTION,
+} from '../../../src/call/gate-policy.js';
+import { InboundCall, type InboundServices } from '../../../src/call/inbound-call.js';
+import { congestionOf, ingressContext, ingressRequest } from '../../../src/call/ingress-policy.js';
+import type { OutboundResult } from '../../../src/call/outbound-call.js';
+import { OutboundRouter } from '../../../src/call/outbound-router.js';
+import type { Outcome } from '../../../src/call/outcome.js';
+import { refusalStatus } from '../../../src/call/refusal.js';
+import type {
+  Attempt,
+  AttemptEnvelope,
+  AttemptListener,
+  OutboundTransport,
+  TargetTransport,
+} from '../../../src/call/transport.js';
+import type { RandomSource } from '../../../src/common/random.js';
+import type { VirtualClock } from '../../../src/common/virtual-clock.js';
+import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
+import type { CallFrameContext } from '../../../src/link/link-frames.js';
+import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
+import type { EndpointRecord } from '../../../src/routing/endpoint.js';
+import { OriginTracker } from '../../../src/routing/origin-tracker.js';
+import { ServiceDirectory } from '../../../src/routing/service-directory.js';
+import type { SimRoute, SimService } from './call-graph.js';
+import { SimTargetWork, type Cancellable } from './sim-target-work.js';
+
+/** One way between two machines, in milliseconds. */
+const LINK_DELAY_MS = 1;
+/** As in the settings of a sidecar: retries as a share of first attempts, and those saved up. */
+const RETRY_SHARE = 0.05;
+const RETRY_BURST = 2;
+
+/** What the machines of a run share. */
+export interface SidecarNeighbours {
+  readonly clock: VirtualClock;
+  readonly random: RandomSource;
+  route(name: string): SimRoute;
+  sidecar(id: string): SimSidecar;
+}
+
+/** A request's final answer at its ingress. */
+export interface SimAnswer {
+  readonly status: number;
+  /** Seconds after which a refused request may come again; 0 where none was told. */
+  readonly retryAfterSeconds: number;
+}
+
+/** Hears what a gate answers; `status` is 0 where it refused. */
+type GateAnswer = (status: number, outcome: Outcome) => void;
+
+export class SimSidecar {
+  readonly record: EndpointRecord;
+  private readonly limiter = new SlotLimiter(SLOT_FRACTION);
+  private readonly origins: OriginTracker;
+  private readonly downstream: CongestionLevel;
+  private readonly services: InboundServices;
+  private readonly directory: ServiceDirectory;
+  private readonly router: OutboundRouter;
+  private readonly nestedRoutes = new Set<string>();
+
+  constructor(
+    private readonly world: SidecarNeighbours,
+    readonly service: SimService,
+    index: number,
+    private readonly workFactor: number,
+  ) {
+    const { clock, random } = world;
+    const id = `${service.name}-${index}`;
+    this.record = {
+      id,
+      incarnation: 1,
+      service: service.name,
+      zone: 'zone',
+      origin: id,
+      state: 'ready',
+    };
+    this.limiter.setSlots(service.slots);
+    this.downstream = new CongestionLevel(clock);
+    this.directory = new ServiceDirectory({
+      clock,
+      random,
+      callerId: id,
+      callerZone: 'zone',
+      slowStartMs: () => 0,
+    });
+    this.origins = new OriginTracker(() => this.directory.serviceCount);
+    this.services = this.createServices();
+    this.router = new OutboundRouter({
+      clock,
+      random,
+      directory: this.directory,
+      retryBurst: RETRY_BURST,
+      throttle: new LevelThrottle(random),
+    });
+  }
+
+  /** Adopts the list of endpoints. */
+  update(records: readonly EndpointRecord[]): void {
+    this.directory.update(records);
+  }
+
+  /** Takes a request that begins on this machine. */
+  ingress(simRoute: SimRoute, wantedMs: number, done: (answer: SimAnswer) => void): Cancellable {
+    const { clock } = this.world;
+    const { route } = simRoute;
+    const arrivedAt = clock.now();
+    const arrival = { requestId: '', service: simRoute.service, wantedMs, arrivedAt };
+    const context = ingressContext(route, arrival);
+    const isNested = this.nestedRoutes.has(route.name);
+    const frame = (retries: number): CallFrameContext => ({
+      ...context,
+      service: simRoute.service,
+      deadlineMs: Math.max(0, context.deadlineAt - clock.now()),
+      waitMs: Math.max(0, (context.waitUntil ?? context.deadlineAt) - clock.now()),
+      retries,
+    });
+    const transport = new SimPeerTransport(this.world, this.service.name, frame);
+    return this.router.call(
+      simRoute.service,
+      ingressRequest(route, context, RETRY_SHARE, isNested),
+      transport,
+      (result) => {
+        this.learn(route.name, result);
+        done(answerOf(result, transport.status));
+      },
+    );
+  }
+
+  /** Takes a call that another sidecar routed here. */
+  gate(frame: CallFrameContext, caller: string, answer: GateAnswer): Cancellable {
+    const { clock } = this.world;
+    this.origins.onCall(frame.kind, caller);
+    const isNested = this.origins.isNested(frame.kind);
+    const context = gateContext(frame, isNested, clock.now());
+    const transport = this.targetTransport(frame.kind, context.deadlineAt);
+    const call: InboundCall = new InboundCall(
+      context,
+      undefined,
+      this.services,
+      transport,
+      (result) => {
+        if (result.type === 'relayed') return;
+        const verdict = result.type === 'broken' ? result.verdict : result.refusal.verdict;
+        const reason = result.type === 'broken' ? 'broken-answer' : result.refusal.reason;
+        answer(0, call.takeOutcome(verdict, reason));
+      },
+      gateOptions(frame, isNested),
+    );
+    transport.onRelayed = (status) => answer(status, call.takeOutcome('ran', undefined));
+    call.start();
+    return call;
+  }
+
+  private createServices(): InboundServices {
+    const { clock, random } = this.world;
+    return {
+      clock,
+      admission: new AdmissionController({
+        clock,
+        random,
+        limiter: this.limiter,
+        order: SHARING_ORDERS['importance-first'],
+        shareOf: () => 1,
+        totalShare: () => 1,
+        queueWaitMs: () => QUEUE_WAIT_MS,
+      }),
+      claims: NO_CLAIMS,
+      isLeaving: () => false,
+      queueLevels: Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock)),
+      downstreamLevel: () => this.downstream.current(),
+      kindImpact: new KindImpact(),
+    };
+  }
+
+  private learn(route: string, result: OutboundResult): void {
+    if (result.type === 'broken') return;
+    if (result.nested) this.nestedRoutes.add(route);
+    if (this.nestedRoutes.has(route)) this.downstream.onCall(congestionOf(result));
+  }
+
+  private targetTransport(kind: string, deadlineAt: number): SimTargetTransport {
+    const { clock, random } = this.world;
+    const route = this.world.route(kind);
+    return new SimTargetTransport(
+      (done) =>
+        new SimTargetWork(
+          clock,
+          random,
+          route,
+          this.workFactor,
+          deadlineAt - clock.now(),
+          (name, deadlineMs, nestedDone) =>
+            this.ingress(this.world.route(name), deadlineMs, ({ status }) => nestedDone(status)),
+          done,
+        ),
+    );
+  }
+}
+
+function answerOf(result: OutboundResult, status: number): SimAnswer {
+  if (result.type === 'relayed') return { status, retryAfterSeconds: 0 };
+  if (result.type === 'broken') return { status: 0, retryAfterSeconds: 0 };
+  const { refusal } = result;
+  return { status: refusalStatus(refusal), retryAfterSeconds: refusal.retryAfterSeconds };
+}
+
+/** Sends the attempts of one request to gates. */
+class SimPeerTransport implements OutboundTransport {
+  readonly replayable = true;
+  /** Status of the answer that was passed on. */
+  status = 0;
+
+  constructor(
+    private readonly world: SidecarNeighbours,
+    private readonly caller: string,
+    private readonly frame: (retries: number) => CallFrameContext,
+  ) {}
+
+  send(endpoint: EndpointRecord, envelope: AttemptEnvelope, listener: AttemptListener): Attempt {
+    const { clock } = this.world;
+    const frame = this.frame(envelope.retries);
+    let isOver = false;
+    let inbound: Cancellable | undefined;
+    const onAnswer = (status: number, outcome: Outcome): void => {
+      if (isOver) return;
+      isOver = true;
+      const decision = listener.onHead({ status, outcome });
+      if (decision === 'discard') return;
+      this.status = status;
+      listener.onEnd();
+    };
+    clock.schedule(LINK_DELAY_MS, () => {
+      if (isOver) return;
+      const sidecar = this.world.sidecar(endpoint.id);
+      inbound = sidecar.gate(frame, this.caller, (status, outcome) => {
+        clock.schedule(LINK_DELAY_MS, () => onAnswer(status, outcome));
+      });
+    });
+    return {
+      written: true,
+      cancel: () => {
+        isOver = true;
+        clock.schedule(LINK_DELAY_MS, () => inbound?.cancel());
+      },
+    };
+  }
+}
+
+/** Hands one call to the target. */
+class SimTargetTransport implements TargetTransport {
+  onRelayed: (status: number) => void = () => undefined;
+
+  constructor(private readonly begin: (done: (status: number) => void) => Cancellable) {}
+
+  send(listener: AttemptListener): Attempt {
+    const work = this.begin((status) => {
+      if (listener.onHead({ status, outcome: undefined }) === 'discard') return;
+      listener.onEnd();
+      this.onRelayed(status);
+    });
+    return { written: true, cancel: () => work.cancel() };
+  }
+}
--- /dev/null
+++ b/lab/simulator/sidecars/sim-target-work.ts
@@ -0,0 +1,97 @@
+/**
+ * A target at work on calls: its own work in equal parts, with the calls that it makes between them,
+ * one after the other. A call that fails fails the work.
+ */
+import type { Clock, Timer } from '../../../src/common/clock.js';
+import type { RandomSource } from '../../../src/common/random.js';
+import type { SimRoute } from './call-graph.js';
+
+/** Ends something that is under way. */
+export interface Cancellable {
+  cancel(): void;
+}
+
+/** Sends a call that the target makes. `done` hears its status. */
+export type NestedSender = (
+  route: string,
+  deadlineMs: number,
+  done: (status: number) => void,
+) => Cancellable;
+
+const STATUS_OK = 200;
+const STATUS_FAILED = 500;
+const STATUS_DEADLINE = 504;
+/** Spread of the work: a uniform factor between 1 - SPREAD and 1 + SPREAD. */
+const SPREAD = 0.5;
+
+/** One call that the target works on. */
+export class SimTargetWork implements Cancellable {
+  private timer: Timer | undefined;
+  private readonly deadlineTimer: Timer;
+  private nestedCall: Cancellable | undefined;
+  private isOver = false;
+  private readonly calls: readonly string[];
+  private readonly partMs: number;
+  private nextCall = 0;
+
+  /** @param deadlineMs time after which the target gives up */
+  constructor(
+    private readonly clock: Clock,
+    random: RandomSource,
+    route: SimRoute,
+    workFactor: number,
+    private readonly deadlineMs: number,
+    private readonly send: NestedSender,
+    private readonly done: (status: number) => void,
+  ) {
+    this.calls = route.nested.flatMap((nested) =>
+      Array.from({ length: nested.times }, () => nested.route),
+    );
+    const spread = 1 - SPREAD + 2 * SPREAD * random.next();
+    this.partMs = (route.workMs * workFactor * spread) / (this.calls.length + 1);
+    this.startedAt = clock.now();
+    this.deadlineTimer = clock.schedule(deadlineMs, () => this.finish(STATUS_DEADLINE));
+    this.workOn();
+  }
+
+  private readonly startedAt: number;
+
+  cancel(): void {
+    this.end();
+  }
+
+  private workOn(): void {
+    this.timer = this.clock.schedule(this.partMs, () => this.onPartDone());
+  }
+
+  private onPartDone(): void {
+    const route = this.calls[this.nextCall];
+    if (route === undefined) {
+      this.finish(STATUS_OK);
+      return;
+    }
+    this.nextCall += 1;
+    const leftMs = this.deadlineMs - (this.clock.now() - this.startedAt);
+    this.nestedCall = this.send(route, leftMs, (status) => this.onNestedDone(status));
+  }
+
+  private onNestedDone(status: number): void {
+    if (this.isOver) return;
+    this.nestedCall = undefined;
+    if (status === STATUS_OK) this.workOn();
+    else this.finish(STATUS_FAILED);
+  }
+
+  private finish(status: number): void {
+    if (this.isOver) return;
+    this.end();
+    this.done(status);
+  }
+
+  private end(): void {
+    this.isOver = true;
+    this.timer?.cancel();
+    this.deadlineTimer.cancel();
+    this.nestedCall?.cancel();
+  }
+}
