--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -173,7 +173,10 @@
   /** Of a call that the target of this machine made: how congested it is below. */
   private learn(result: Exclude<OutboundResult, { type: 'broken' }>): void {
     const { nestedRoutes, downstream } = this.options;
-    if (result.nested) nestedRoutes.add(this.route.name);
+    if (result.nested && !nestedRoutes.has(this.route.name)) {
+      nestedRoutes.add(this.route.name);
+      this.options.journal.onNestedRoute(this.record());
+    }
     if (!nestedRoutes.has(this.route.name)) return;
     downstream.onCall(congestionOf(result));
   }
--- a/src/call/request-journal.ts
+++ b/src/call/request-journal.ts
@@ -44,6 +44,12 @@
     this.logger.info('A request failed.', { ...record, ...ended });
   }
 
+  /** A gate said that targets make the calls of the request's route, which is news here. */
+  onNestedRoute({ requestId, route, service, attempts }: IngressRecord): void {
+    const fields = { requestId, route, service, toldBy: attempts.at(-1) };
+    this.logger.info('Targets make the calls of a route.', fields);
+  }
+
   /** A call for the target of this machine ended without a whole answer. */
   onGate(context: CallContext, outcome: string, verdict: Verdict, startedAt: number): void {
     if (!this.hasRoom()) return;
