Judge by expected calls who makes the calls of a route, and by most gates

Where two of four services hold 10 of 63 machines, luck alone does that at one gate in a hundred, and each of its answers made an ingress believe it for good: such requests are never refused early, however congested all is below. Class: a conclusion from a fixed number of samples, kept for ever.

Change: a service counts as absent only against the calls that its machines would have made, and a conclusion needs 14 of these (one in a million by luck); an ingress follows what most of the latest answers say, and unlearns. A gate draws its conclusion every 20 calls and not with each: less work a call than before. ingress-stop.test.ts: the stub of the router now says that no gate answered, as its refusal means.

--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -33,6 +33,7 @@
 import type { CallFrameContext } from '../../../src/link/link-frames.js';
 import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
 import type { EndpointRecord } from '../../../src/routing/endpoint.js';
+import { NestedRoutes } from '../../../src/routing/nested-routes.js';
 import { OriginTracker } from '../../../src/routing/origin-tracker.js';
 import { ServiceDirectory } from '../../../src/routing/service-directory.js';
 import type { SimRoute, SimService } from './call-graph.js';
@@ -70,7 +71,7 @@
   private readonly services: InboundServices;
   private readonly directory: ServiceDirectory;
   private readonly router: OutboundRouter;
-  private readonly nestedRoutes = new Set<string>();
+  private readonly nestedRoutes = new NestedRoutes();
 
   constructor(
     private readonly world: SidecarNeighbours,
@@ -97,7 +98,7 @@
       callerZone: 'zone',
       slowStartMs: () => 0,
     });
-    this.origins = new OriginTracker(() => this.directory.serviceCount);
+    this.origins = new OriginTracker(() => this.directory.machines);
     this.services = this.createServices();
     this.router = new OutboundRouter({
       clock,
@@ -188,7 +189,7 @@
 
   private learn(route: string, result: OutboundResult): void {
     if (result.type === 'broken') return;
-    if (result.nested) this.nestedRoutes.add(route);
+    if (result.nested !== undefined) this.nestedRoutes.onAnswer(route, result.nested);
     if (this.nestedRoutes.has(route)) this.downstream.onCall(congestionOf(result));
   }
 
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -11,6 +11,7 @@
 import { deadlineOf, headerValue, type TargetHeaders } from '../http/target-headers.js';
 import type { PolicyTable } from '../policy/policy-table.js';
 import type { Route } from '../policy/route-table.js';
+import type { NestedRoutes } from '../routing/nested-routes.js';
 import type { WeightedSplit } from '../routing/weighted-split.js';
 import { StopPhase } from './stop-phase.js';
 import type { CallContext } from './call-context.js';
@@ -41,7 +42,7 @@
   /** Learns of calls of the target that are held up or refused. */
   readonly downstream: CongestionLevel;
   /** Routes whose calls are made by targets, as gates have said. */
-  readonly nestedRoutes: Set<string>;
+  readonly nestedRoutes: NestedRoutes;
 }
 
 const STATUS_HEADERS_TOO_LARGE = 431;
@@ -173,9 +174,8 @@
   /** Of a call that the target of this machine made: how congested it is below. */
   private learn(result: Exclude<OutboundResult, { type: 'broken' }>): void {
     const { nestedRoutes, downstream } = this.options;
-    if (result.nested && !nestedRoutes.has(this.route.name)) {
-      nestedRoutes.add(this.route.name);
-      this.options.journal.onNestedRoute(this.record());
+    if (result.nested !== undefined && nestedRoutes.onAnswer(this.route.name, result.nested)) {
+      this.options.journal.onRouteLearned(this.record(), result.nested);
     }
     if (!nestedRoutes.has(this.route.name)) return;
     downstream.onCall(congestionOf(result));
--- a/src/call/outbound-call.ts
+++ b/src/call/outbound-call.ts
@@ -59,7 +59,8 @@
       readonly overloaded: boolean;
       /** Part of the calls below that are held up, as the callee told it; 0 where it told nothing. */
       readonly congestion: number;
-      readonly nested: boolean;
+      /** Whether targets make calls like this one; undefined where no gate has answered. */
+      readonly nested: boolean | undefined;
     }
   /** An answer had begun and broke off: the caller must see it as broken. */
   | { readonly type: 'broken'; readonly verdict: Verdict }
@@ -69,7 +70,8 @@
       readonly refusal: Refusal;
       readonly overloaded: boolean;
       readonly congestion: number;
-      readonly nested: boolean;
+      /** Whether targets make calls like this one; undefined where no gate has answered. */
+      readonly nested: boolean | undefined;
     };
 
 /** Hears the one result of a call. */
@@ -98,7 +100,7 @@
   /** Wanted calls of the lane for each one sent, when this one was sent. */
   private pressureAtSend = 1;
   /** Whether a gate said that targets make the calls of this route. */
-  private nested = false;
+  private nested: boolean | undefined;
   private finished = false;
 
   constructor(
@@ -198,7 +200,7 @@
   private onHead(head: AnswerHead): HeadDecision {
     const { outcome } = head;
     this.overdueTimer?.cancel();
-    this.nested ||= outcome?.nested === true;
+    if (outcome !== undefined) this.nested = outcome.nested === true;
     this.loan?.settle(outcome?.unspentRetries ?? 0);
     if (outcome?.refusal !== undefined) {
       this.onNodeRefusal(outcome);
--- a/src/call/request-journal.ts
+++ b/src/call/request-journal.ts
@@ -44,10 +44,10 @@
     this.logger.info('A request failed.', { ...record, ...ended });
   }
 
-  /** A gate said that targets make the calls of the request's route, which is news here. */
-  onNestedRoute({ requestId, route, service, attempts }: IngressRecord): void {
-    const fields = { requestId, route, service, toldBy: attempts.at(-1) };
-    this.logger.info('Targets make the calls of a route.', fields);
+  /** What gates say of who makes the calls of the request's route has changed with its answer. */
+  onRouteLearned({ requestId, route, service, attempts }: IngressRecord, isNested: boolean): void {
+    const fields = { requestId, route, service, isNested, toldBy: attempts.at(-1) };
+    this.logger.info('It was learned who makes the calls of a route.', fields);
   }
 
   /** A call for the target of this machine ended without a whole answer. */
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -35,6 +35,7 @@
 import { createNodeMetrics } from '../observe/node-metrics.js';
 import { IMPORTANCE_COUNT } from '../policy/importance.js';
 import { EMPTY_POLICY_TABLE, type PolicyTable } from '../policy/policy-table.js';
+import { NestedRoutes } from '../routing/nested-routes.js';
 import { OriginTracker } from '../routing/origin-tracker.js';
 import { ServiceDirectory } from '../routing/service-directory.js';
 import { WeightedSplit } from '../routing/weighted-split.js';
@@ -226,7 +227,7 @@
       stats: this.inboundStats,
       service: () => lease.current?.service,
       journal,
-      origins: new OriginTracker(() => this.directory.serviceCount),
+      origins: new OriginTracker(() => this.directory.machines),
     });
   }
 
@@ -258,7 +259,7 @@
       stopPhase: () => this.phase,
       journal,
       downstream: this.downstream,
-      nestedRoutes: new Set<string>(),
+      nestedRoutes: new NestedRoutes(),
     });
   }
 
--- /dev/null
+++ b/src/routing/nested-routes.ts
@@ -0,0 +1,31 @@
+/**
+ * The routes whose calls targets make, as gates say with their answers. A single gate may be wrong, or
+ * not know yet, and routes change: what most of the latest answers say holds.
+ */
+
+/** Weight of one answer. */
+const WEIGHT = 0.1;
+const MAJORITY = 0.5;
+/** Routes that are remembered; routes come and go with the configuration. */
+const MAX_ROUTES = 1_000;
+
+export class NestedRoutes {
+  /** Part of the latest answers that said so, by route. */
+  private readonly parts = new Map<string, number>();
+
+  /** Whether targets make the calls of `route`. */
+  has(route: string): boolean {
+    return (this.parts.get(route) ?? 0) > MAJORITY;
+  }
+
+  /** A gate answered a call of `route`. @returns whether {@link has} has changed by it */
+  onAnswer(route: string, isNested: boolean): boolean {
+    const before = this.has(route);
+    const part = this.parts.get(route);
+    if (part === undefined && !isNested) return false;
+    if (part === undefined && this.parts.size >= MAX_ROUTES) this.parts.clear();
+    const present = part ?? 0;
+    this.parts.set(route, present + WEIGHT * ((isNested ? 1 : 0) - present));
+    return this.has(route) !== before;
+  }
+}
--- a/src/routing/origin-tracker.ts
+++ b/src/routing/origin-tracker.ts
@@ -5,27 +5,35 @@
  * that it follows the configuration.
  */
 
-/** Calls of one route that are looked at before anything is concluded. */
-const MIN_CALLS = 20;
-/** Counts are halved when a route has this many, so that old calls fade. */
-const MAX_CALLS = 400;
-/** A service with a smaller part of the calls does not count as an origin. */
-const MIN_PART = 0.03;
+/** Counts are halved when a route has this many calls, so that old calls fade. */
+const MAX_CALLS = 2_000;
+/** A service with less than this part of the calls that its machines would have is no origin. */
+const MIN_PART_OF_EXPECTED = 0.1;
 /** Routes with no more than this part of the services as origins are called by targets. */
 const MAX_ORIGIN_PART = 0.5;
 /** With fewer services nothing can be concluded. */
 const MIN_SERVICES = 2;
+/**
+ * Calls that clients would have made from the services without any, before their absence means
+ * something. With independent calls the chance to be wrong is exp(-14), one in a million.
+ */
+const MIN_EXPECTED_CALLS = 14;
+/** Calls after which a conclusion is drawn anew: it costs a look at every service. */
+const CONCLUDE_EVERY = 20;
 
 interface RouteOrigins {
   total: number;
   readonly byService: Map<string, number>;
+  isNested: boolean;
+  /** Calls until the next conclusion. */
+  untilConclusion: number;
 }
 
 export class OriginTracker {
   private readonly routes = new Map<string, RouteOrigins>();
 
-  /** @param serviceCount number of services that have targets now */
-  constructor(private readonly serviceCount: () => number) {}
+  /** @param machines number of machines of each service */
+  constructor(private readonly machines: () => ReadonlyMap<string, number>) {}
 
   /** A call arrived on `route` that began on a machine of `service`. */
   onCall(route: string, service: string): void {
@@ -33,27 +41,53 @@
     origins.total += 1;
     origins.byService.set(service, (origins.byService.get(service) ?? 0) + 1);
     if (origins.total >= MAX_CALLS) fade(origins);
+    origins.untilConclusion -= 1;
+    if (origins.untilConclusion > 0) return;
+    origins.untilConclusion = CONCLUDE_EVERY;
+    origins.isNested = isNested(origins, this.machines());
   }
 
   /** Whether targets make the calls of `route`, as far as is known. */
   isNested(route: string): boolean {
-    const origins = this.routes.get(route);
-    const services = this.serviceCount();
-    if (origins === undefined || origins.total < MIN_CALLS || services < MIN_SERVICES) return false;
-    const least = origins.total * MIN_PART;
-    const count = [...origins.byService.values()].filter((calls) => calls >= least).length;
-    return count <= services * MAX_ORIGIN_PART;
+    return this.routes.get(route)?.isNested ?? false;
   }
 
   private origins(route: string): RouteOrigins {
     const existing = this.routes.get(route);
     if (existing !== undefined) return existing;
-    const created: RouteOrigins = { total: 0, byService: new Map() };
+    const created: RouteOrigins = {
+      total: 0,
+      byService: new Map(),
+      isNested: false,
+      untilConclusion: CONCLUDE_EVERY,
+    };
     this.routes.set(route, created);
     return created;
   }
 }
 
+function isNested(origins: RouteOrigins, machines: ReadonlyMap<string, number>): boolean {
+  const services = new Set([...machines.keys(), ...origins.byService.keys()]);
+  if (services.size < MIN_SERVICES) return false;
+  const allMachines = sum(machines.values());
+  let expectedFromAbsent = 0;
+  let present = 0;
+  for (const service of services) {
+    const expected = (origins.total * (machines.get(service) ?? 0)) / allMachines;
+    const calls = origins.byService.get(service) ?? 0;
+    if (calls > MIN_PART_OF_EXPECTED * expected) present += 1;
+    else expectedFromAbsent += expected;
+  }
+  if (expectedFromAbsent < MIN_EXPECTED_CALLS) return false;
+  return present <= services.size * MAX_ORIGIN_PART;
+}
+
+function sum(numbers: Iterable<number>): number {
+  let total = 0;
+  for (const number of numbers) total += number;
+  return total;
+}
+
 function fade(origins: RouteOrigins): void {
   origins.total = 0;
   for (const [service, calls] of origins.byService) {
--- a/src/routing/service-directory.ts
+++ b/src/routing/service-directory.ts
@@ -10,6 +10,7 @@
 export class ServiceDirectory {
   private readonly balancers = new Map<string, Balancer>();
   private recordsByService = new Map<string, EndpointRecord[]>();
+  private endpointCounts = new Map<string, number>();
 
   constructor(private readonly options: DirectoryOptions) {}
 
@@ -22,14 +23,17 @@
       else list.push(record);
     }
     this.recordsByService = byService;
+    this.endpointCounts = new Map(
+      [...byService].map(([service, list]) => [service, list.length] as const),
+    );
     for (const [service, balancer] of this.balancers) {
       balancer.update(byService.get(service) ?? []);
     }
   }
 
-  /** Number of services that have endpoints. */
-  get serviceCount(): number {
-    return this.recordsByService.size;
+  /** Number of endpoints of each service that has any. */
+  get machines(): ReadonlyMap<string, number> {
+    return this.endpointCounts;
   }
 
   /** Whether any endpoint of the service is known. */
--- a/test/call/ingress-stop.test.ts
+++ b/test/call/ingress-stop.test.ts
@@ -16,6 +16,7 @@
 import { PolicyTable } from '../../src/policy/policy-table.js';
 import type { Resource } from '../../src/policy/resource-schema.js';
 import { StopPhase } from '../../src/call/stop-phase.js';
+import { NestedRoutes } from '../../src/routing/nested-routes.js';
 import { WeightedSplit } from '../../src/routing/weighted-split.js';
 
 function route(name: string): Resource {
@@ -42,7 +43,7 @@
           refusal: { reason: 'unavailable', verdict: 'not-run', retryAfterSeconds: 1, detail: '' },
           overloaded: false,
           congestion: 0,
-          nested: false,
+          nested: undefined,
         });
       },
     } as unknown as IngressServerOptions['router'];
@@ -66,7 +67,7 @@
       stopPhase: () => phase,
       journal: new RequestJournal(clock, SILENT_LOGGER),
       downstream: new CongestionLevel(clock),
-      nestedRoutes: new Set(['target']),
+      nestedRoutes: learnedFromGates('target'),
     });
     server = createServer(ingress.handle);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -112,5 +113,12 @@
   refusal: { reason: 'unavailable'; verdict: 'not-run'; retryAfterSeconds: number; detail: string };
   overloaded: boolean;
   congestion: number;
-  nested: boolean;
+  nested: undefined;
 }) => void;
+
+/** What an ingress knows after ten answers of gates that targets call `route`. */
+function learnedFromGates(route: string): NestedRoutes {
+  const routes = new NestedRoutes();
+  for (let answer = 0; answer < 10; answer += 1) routes.onAnswer(route, true);
+  return routes;
+}
--- a/test/routing/origin-tracker.test.ts
+++ b/test/routing/origin-tracker.test.ts
@@ -22,7 +22,10 @@
   throw new Error('more machines drawn than there are');
 }
 
+const UNEVEN = new Map(UNEVEN_MACHINES.map(({ service, machines }) => [service, machines]));
+
 const SERVICES = ['plans', 'ledger', 'archive', 'credit'];
+const ALIKE = new Map(SERVICES.map((service) => [service, 4]));
 
 function calls(
   tracker: OriginTracker,
@@ -37,7 +40,7 @@
 
 describe('the origins of calls', () => {
   it('tell routes that targets call from those that clients call', () => {
-    const tracker = new OriginTracker(() => SERVICES.length);
+    const tracker = new OriginTracker(() => ALIKE);
     calls(tracker, 'credit-check', SERVICES, 100);
     calls(tracker, 'limit-read', ['archive'], 100);
     calls(tracker, 'archive-read', ['ledger', 'plans'], 100);
@@ -47,10 +50,10 @@
   });
 
   it('conclude nothing from a few calls, or where there is one service', () => {
-    const tracker = new OriginTracker(() => SERVICES.length);
+    const tracker = new OriginTracker(() => ALIKE);
     calls(tracker, 'limit-read', ['archive'], 10);
     expect(tracker.isNested('limit-read')).to.equal(false);
-    const alone = new OriginTracker(() => 1);
+    const alone = new OriginTracker(() => new Map([['archive', 4]]));
     calls(alone, 'limit-read', ['archive'], 100);
     expect(alone.isNested('limit-read')).to.equal(false);
   });
@@ -59,7 +62,7 @@
     let mistaken = 0;
     for (let seed = 1; seed <= DRAWN_GATES; seed += 1) {
       const random = new SeededRandom(seed);
-      const tracker = new OriginTracker(() => UNEVEN_MACHINES.length);
+      const tracker = new OriginTracker(() => UNEVEN);
       let isMistaken = false;
       for (let call = 0; call < 2_000; call += 1) {
         tracker.onCall('credit-check', drawOrigin(random));
@@ -71,7 +74,7 @@
   });
 
   it('follow a route that clients begin to use', () => {
-    const tracker = new OriginTracker(() => SERVICES.length);
+    const tracker = new OriginTracker(() => ALIKE);
     calls(tracker, 'limit-read', ['archive'], 300);
     calls(tracker, 'limit-read', SERVICES, 2_000);
     expect(tracker.isNested('limit-read')).to.equal(false);
