Reproduce CONFIG at size: a change of many routes to all followers of one replica (fails)

They follow one replica because each that must leave one takes the first of those that are equally new.

--- /dev/null
+++ b/test/control/large-change.test.ts
@@ -0,0 +1,84 @@
+/** What a replica sends each follower for a change of many routes. */
+import { expect } from 'chai';
+import { request } from 'undici';
+import { encodeMessage } from '../../src/common/message-codec.js';
+import { NO_REVISION, SYNC_PATH, type SyncRequest } from '../../src/control/sync-protocol.js';
+import { SILENT_LOGGER } from '../../src/observe/logger.js';
+import { startControl } from '../../src/programs/control-program.js';
+import { controlSettingsSchema } from '../../src/settings/schemas.js';
+import { Cleanup, planReplicas, until } from '../support/processes.js';
+
+const LINK_TOKEN = 'test-link-token-0123456789';
+const ROUTES = 1_500;
+/**
+ * 200 followers that all follow one replica get the change over a link of 86 Mbit/s within half a second,
+ * a quarter of the time in which it is to be in force.
+ */
+const MOST_BYTES = (86_000_000 / 8 / 200) * 0.5;
+
+function route(index: number): object {
+  const pathPrefix = `/x${(index * 7_919).toString(36)}/`;
+  const limits = { timeoutMs: 1_500 + index, objectiveMs: 1_000, rank: 2, maxTargets: 2 };
+  const spec = { host: 'shop.example', pathPrefix, semantics: 'repeatable', ...limits };
+  return { kind: 'Route', name: `r-${index.toString(36)}`, spec: { ...spec, service: 'ledger' } };
+}
+
+describe('a change of many routes', function () {
+  this.timeout(20_000);
+  const cleanup = new Cleanup();
+  after(() => cleanup.run());
+
+  it('is sent to each follower in few bytes', async () => {
+    const [place] = await planReplicas(1);
+    const { origin } = place!;
+    const control = await startControl(
+      controlSettingsSchema.parse({
+        id: 'control-1',
+        zone: 'zone-a',
+        admin: '127.0.0.1:0',
+        listen: origin.slice('http://'.length),
+        advertise: origin,
+        seeds: [origin],
+        bootstrap: true,
+        dataDir: place!.dataDir,
+        electionTimeoutMs: 100,
+        declarations: 'open',
+        linkToken: LINK_TOKEN,
+      }),
+      SILENT_LOGGER,
+    );
+    cleanup.add(() => control.stop());
+    const resources = Array.from({ length: ROUTES }, (_, index) => route(index));
+    const service = { kind: 'Service', name: 'ledger', spec: { connections: 8 } };
+    await until(() => declare(origin, [service, ...resources]));
+    const bytes = await sync(origin);
+    expect(bytes).to.be.above(0);
+    expect(bytes).to.be.below(MOST_BYTES);
+  });
+
+  async function declare(origin: string, resources: object[]): Promise<boolean> {
+    const response = await request(`${origin}/v1/declarations`, {
+      method: 'PUT',
+      headers: { 'if-match': '0' },
+      body: JSON.stringify({ version: 1, resources }),
+    });
+    await response.body.dump();
+    return response.statusCode === 200;
+  }
+
+  /** Syncs like a process that has just started. @returns length of the answer's body */
+  async function sync(origin: string): Promise<number> {
+    const message: SyncRequest = {
+      revision: NO_REVISION,
+      endpointSource: '',
+      endpointVersion: 0,
+    };
+    const response = await request(origin + SYNC_PATH, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${LINK_TOKEN}` },
+      body: encodeMessage(message),
+    });
+    expect(response.statusCode).to.equal(200);
+    return (await response.body.arrayBuffer()).byteLength;
+  }
+});
--- /dev/null
+++ b/test/follower/spread.test.ts
@@ -0,0 +1,92 @@
+/** Followers that must leave a replica don't all go to the same other one. */
+import { expect } from 'chai';
+import { SeededRandom } from '../../src/common/random.js';
+import { VirtualClock } from '../../src/common/virtual-clock.js';
+import type { HeartbeatReply } from '../../src/control/member-table.js';
+import { HEARTBEAT_PATH } from '../../src/control/sync-protocol.js';
+import {
+  ExchangeFailure,
+  type ControlLink,
+  type Exchange,
+} from '../../src/follower/control-client.js';
+import { Follower } from '../../src/follower/follower.js';
+import { SILENT_LOGGER } from '../../src/observe/logger.js';
+
+const ORIGINS = ['lost', 'second', 'third', 'fourth'];
+const FOLLOWERS = 60;
+
+/** Four replicas, of which the first is gone. Notes where the last sync was sent. */
+class Replicas implements ControlLink {
+  syncedWith = '';
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  send<Answer>(origin: string, path: string): Promise<Exchange<Answer>> {
+    if (path !== HEARTBEAT_PATH) this.syncedWith = origin;
+    else if (origin !== 'lost') {
+      const answer: HeartbeatReply = { type: 'ok', revision: 1, isCurrent: true };
+      return Promise.resolve({ type: 'answered', answer: answer as Answer });
+    }
+    return new Promise((resolve) => {
+      this.clock.schedule(500, () =>
+        resolve({ type: 'failed', failure: ExchangeFailure.TimedOut, detail: 'no answer' }),
+      );
+    });
+  }
+}
+
+async function originAfterLoss(seed: number): Promise<string> {
+  const clock = new VirtualClock();
+  const replicas = new Replicas(clock);
+  const random = new SeededRandom(seed);
+  const follower = new Follower({
+    clock,
+    // The first draw chooses the replica to begin with: the one that is lost.
+    random: { next: () => random.next(), below: firstZero((bound) => random.below(bound)) },
+    client: replicas,
+    controlOrigins: ORIGINS,
+    heartbeatIntervalMs: 1_000,
+    logger: SILENT_LOGGER,
+    identity: () => ({
+      id: `node-${seed}`,
+      role: 'node',
+      incarnation: 1,
+      zone: 'zone-a',
+      service: 'ledger',
+      origin: 'http://127.0.0.1:1',
+      claimEpoch: 0,
+    }),
+    onConfiguration: () => undefined,
+    onEndpoints: () => undefined,
+    onSuperseded: () => undefined,
+  });
+  follower.start();
+  for (let step = 0; step < 30; step += 1) {
+    clock.advance(50);
+    for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
+  }
+  follower.stop();
+  return replicas.syncedWith;
+}
+
+function firstZero(below: (bound: number) => number): (bound: number) => number {
+  let isFirst = true;
+  return (bound) => {
+    if (!isFirst) return below(bound);
+    isFirst = false;
+    return 0;
+  };
+}
+
+describe('followers of a lost replica', () => {
+  it('spread over the others', async () => {
+    const counts = new Map<string, number>();
+    for (let seed = 1; seed <= FOLLOWERS; seed += 1) {
+      const origin = await originAfterLoss(seed);
+      counts.set(origin, (counts.get(origin) ?? 0) + 1);
+    }
+    for (const origin of ['second', 'third', 'fourth']) {
+      expect(counts.get(origin) ?? 0, origin).to.be.above(FOLLOWERS / 6);
+    }
+  });
+});
