Send a change of many routes once encoded and compressed, and spread followers over replicas

Class: everyone makes the same choice; work for each follower that is the same for all.

Change: the configuration part is encoded and deflated once for all followers at one revision; another replica is chosen by lot; the seed of a process comes from the system. A sync whose answer is arriving is not sent again, however long it takes: the check of the mend before would have ended a large one halfway.

--- a/src/control/follower-api.ts
+++ b/src/control/follower-api.ts
@@ -8,6 +8,7 @@
 import type { Heartbeat, MemberTable } from './member-table.js';
 import type { ResourceStore } from './resource-store.js';
 import { HEARTBEAT_PATH, SYNC_HOLD_MS, SYNC_PATH, type SyncRequest } from './sync-protocol.js';
+import { SyncPacker } from './sync-packer.js';
 import type { SyncResponder } from './sync-responder.js';
 
 /** What the API is made of. */
@@ -30,7 +31,11 @@
 const STATUS_UNAVAILABLE = 503;
 
 export class FollowerApi {
-  constructor(private readonly options: FollowerApiOptions) {}
+  private readonly packer: SyncPacker;
+
+  constructor(private readonly options: FollowerApiOptions) {
+    this.packer = new SyncPacker(options.responder);
+  }
 
   /** Handles a request whose path starts with `/internal/`. */
   async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -81,6 +86,6 @@
       }
       await notifier.wait(Math.min(holdUntil - clock.now(), HEALTH_CHECK_INTERVAL_MS));
     }
-    writeMessage(response, responder.buildResponse(request));
+    writeMessage(response, this.packer.pack(request));
   }
 }
--- a/src/control/replication-link.ts
+++ b/src/control/replication-link.ts
@@ -41,9 +41,11 @@
     if (underWay >= MAX_UNDER_WAY) return;
     this.underWay.set(to.origin, underWay + 1);
     const envelope: Envelope = { to: to.identity, message };
-    void this.client.send(to.origin, REPLICATION_PATH, envelope, this.timeoutMs).then(() => {
-      this.underWay.set(to.origin, this.underWay.get(to.origin)! - 1);
-    });
+    void this.client
+      .send(to.origin, REPLICATION_PATH, envelope, { timeoutMs: this.timeoutMs })
+      .then(() => {
+        this.underWay.set(to.origin, this.underWay.get(to.origin)! - 1);
+      });
   }
 }
 
--- a/src/control/sync-responder.ts
+++ b/src/control/sync-responder.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../common/clock.js';
 import type { MemberTable } from './member-table.js';
 import type { ResourceStore } from './resource-store.js';
+import type { ConfigurationNews, EndpointNews } from './sync-codec.js';
 import {
   NO_REVISION,
   type EndpointPosition,
@@ -55,9 +56,13 @@
     return { ...this.configurationNews(request), ...this.endpointNews(request) };
   }
 
-  private configurationNews(
-    request: SyncRequest,
-  ): Pick<SyncResponse, 'revision' | 'resources' | 'changes'> {
+  /** Revision of the configuration here. */
+  get revision(): number {
+    return this.store.revision;
+  }
+
+  /** What the follower does not have of the configuration. */
+  configurationNews(request: SyncRequest): ConfigurationNews {
     const { store } = this;
     const { revision } = store;
     if (request.revision >= revision) {
@@ -69,9 +74,8 @@
     return { revision, resources: store.list(), changes: [] };
   }
 
-  private endpointNews(
-    request: SyncRequest,
-  ): Omit<SyncResponse, 'revision' | 'resources' | 'changes'> {
+  /** What the follower does not have of the endpoints. */
+  endpointNews(request: SyncRequest): EndpointNews {
     const { members, sourceId } = this;
     const news = { endpointSource: sourceId, endpointVersion: members.endpointVersion };
     if (request.endpointSource === sourceId) {
--- a/src/follower/control-client.ts
+++ b/src/follower/control-client.ts
@@ -26,14 +26,29 @@
   | { readonly type: 'answered'; readonly answer: Answer }
   | { readonly type: 'failed'; readonly failure: ExchangeFailure; readonly detail: string };
 
+/** How far an exchange has come. */
+export interface ExchangeProgress {
+  /** Bytes of the answer that have arrived. */
+  receivedBytes: number;
+}
+
+/** What an exchange may bring besides its message. */
+export interface ExchangeOptions {
+  /** Longest time for the whole exchange, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Ends the exchange early. */
+  readonly abort?: AbortSignal;
+  /** Kept up to date while the answer arrives. */
+  readonly progress?: ExchangeProgress;
+}
+
 /** Sends messages to control replicas. */
 export interface ControlLink {
   send<Answer>(
     origin: string,
     path: string,
     message: unknown,
-    timeoutMs: number,
-    abort?: AbortSignal,
+    options: ExchangeOptions,
   ): Promise<Exchange<Answer>>;
 }
 
@@ -42,17 +57,12 @@
 
   constructor(private readonly linkToken: string) {}
 
-  /**
-   * Sends a message and decodes the answer. Never throws: a failure is part of the result.
-   * @param timeoutMs longest time for the whole exchange
-   * @param abort ends the exchange early
-   */
+  /** Sends a message and decodes the answer. Never throws: a failure is part of the result. */
   async send<Answer>(
     origin: string,
     path: string,
     message: unknown,
-    timeoutMs: number,
-    abort?: AbortSignal,
+    { timeoutMs, abort, progress }: ExchangeOptions,
   ): Promise<Exchange<Answer>> {
     const timeout = AbortSignal.timeout(timeoutMs);
     try {
@@ -63,7 +73,7 @@
         body: encodeMessage(message),
         signal: abort === undefined ? timeout : AbortSignal.any([timeout, abort]),
       });
-      const bytes = Buffer.from(await response.body.arrayBuffer());
+      const bytes = await receive(response.body, progress);
       if (response.statusCode !== STATUS_OK) {
         return failed(ExchangeFailure.Refused, `status ${response.statusCode}`);
       }
@@ -76,6 +86,19 @@
   }
 }
 
+/** Reads a whole body. */
+async function receive(
+  body: AsyncIterable<Buffer>,
+  progress: ExchangeProgress | undefined,
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of body) {
+    chunks.push(chunk);
+    if (progress !== undefined) progress.receivedBytes += chunk.length;
+  }
+  return Buffer.concat(chunks);
+}
+
 function failed(failure: ExchangeFailure, detail: string): Exchange<never> {
   return { type: 'failed', failure, detail };
 }
--- a/src/follower/follower.ts
+++ b/src/follower/follower.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
 import type { Heartbeat, HeartbeatReply } from '../control/member-table.js';
+import { unpackSync, type PackedSync } from '../control/sync-codec.js';
 import {
   HEARTBEAT_PATH,
   SYNC_HOLD_MS,
@@ -14,7 +15,12 @@
 import type { Logger } from '../observe/logger.js';
 import type { EndpointState } from '../routing/endpoint.js';
 import { ConfigurationView } from './configuration-view.js';
-import { ExchangeFailure, type ControlLink, type Exchange } from './control-client.js';
+import {
+  ExchangeFailure,
+  type ControlLink,
+  type Exchange,
+  type ExchangeProgress,
+} from './control-client.js';
 import { SyncJournal } from './sync-journal.js';
 
 /** What a follower is made of. */
@@ -78,6 +84,7 @@
   private currentAt: number;
   /** Newest revision that any replica gave out at the heartbeat before. */
   private newestRevision = 0;
+  private syncProgress: ExchangeProgress = { receivedBytes: 0 };
   /** Ends the sync under way. */
   private syncAbort = new AbortController();
   /** Start of the replica that the sync under way was sent to, once a heartbeat has told of it. */
@@ -169,7 +176,7 @@
       this.origins.map(async (origin): Promise<ReplicaReply> => {
         const { client, clock } = this.options;
         const sentAt = clock.now();
-        const sent = client.send<HeartbeatReply>(origin, HEARTBEAT_PATH, heartbeat, timeoutMs);
+        const sent = client.send<HeartbeatReply>(origin, HEARTBEAT_PATH, heartbeat, { timeoutMs });
         const exchange = await sent;
         const reply = exchange.type === 'answered' ? exchange.answer : undefined;
         const timedOut =
@@ -191,7 +198,7 @@
     if (followed?.timedOut === true) this.syncIsDoubtful = true;
     const current = replies.filter(isCurrent);
     this.rememberStarts(current);
-    const newest = current.sort((first, second) => second.reply.revision - first.reply.revision)[0];
+    const newest = this.oneOfNewest(current);
     if (newest === undefined) {
       this.origins = merged(this.origins, this.seeds);
       return;
@@ -215,6 +222,13 @@
     this.syncAbort.abort();
   }
 
+  /** One of the replicas that tell of the newest revision: by lot, so that followers spread. */
+  private oneOfNewest(current: readonly CurrentReplicaReply[]): CurrentReplicaReply | undefined {
+    const newestRevision = Math.max(...current.map(({ reply }) => reply.revision));
+    const newest = current.filter(({ reply }) => reply.revision === newestRevision);
+    return newest.length === 0 ? undefined : newest[this.options.random.below(newest.length)];
+  }
+
   /** Whether the followed replica lacks a revision that another one gave out a heartbeat ago. */
   private isBehind(own: CurrentReply): boolean {
     const { newestRevision } = this;
@@ -241,9 +255,11 @@
     this.syncedStart = start;
     if (!this.view.lacks(revision, endpoints)) return;
     const sync = this.syncAbort;
+    const { receivedBytes } = this.syncProgress;
     this.options.clock.schedule(NEWS_GRACE_MS + tookMs, () => {
       const isUnderWay = !this.stopped && this.syncAbort === sync;
-      if (isUnderWay && this.view.lacks(revision, endpoints)) {
+      const isArriving = this.syncProgress.receivedBytes > receivedBytes;
+      if (isUnderWay && !isArriving && this.view.lacks(revision, endpoints)) {
         this.syncAgain('the replica has news that it did not bring');
       }
     });
@@ -274,23 +290,27 @@
       this.journal.onSent(origin);
       const exchange = await this.sync(origin);
       this.journal.onEnd(exchange);
-      if (exchange.type === 'answered') this.adopt(exchange.answer);
+      if (exchange.type === 'answered') this.adopt(unpackSync(exchange.answer));
       else if (exchange.failure !== ExchangeFailure.Aborted) {
-        if (this.origin === origin) this.origin = this.originAfter(origin);
+        if (this.origin === origin) this.origin = this.otherThan(origin);
         await new Promise<void>((resolve) => this.options.clock.schedule(RETRY_DELAY_MS, resolve));
       }
     }
   }
 
-  private sync(origin: string): Promise<Exchange<SyncResponse>> {
-    const { signal } = this.syncAbort;
-    const request = this.view.request();
-    return this.options.client.send(origin, SYNC_PATH, request, SYNC_TIMEOUT_MS, signal);
+  private sync(origin: string): Promise<Exchange<PackedSync>> {
+    this.syncProgress = { receivedBytes: 0 };
+    return this.options.client.send(origin, SYNC_PATH, this.view.request(), {
+      timeoutMs: SYNC_TIMEOUT_MS,
+      abort: this.syncAbort.signal,
+      progress: this.syncProgress,
+    });
   }
 
-  private originAfter(origin: string): string {
-    const { origins } = this;
-    return origins[(origins.indexOf(origin) + 1) % origins.length]!;
+  /** Another replica than `origin`, by lot; the same one where there is no other. */
+  private otherThan(origin: string): string {
+    const others = this.origins.filter((each) => each !== origin);
+    return others.length === 0 ? origin : others[this.options.random.below(others.length)]!;
   }
 
   private adopt(response: SyncResponse): void {
--- a/src/programs/control-program.ts
+++ b/src/programs/control-program.ts
@@ -20,10 +20,9 @@
 import { SyncResponder } from '../control/sync-responder.js';
 import { StoreMachine } from '../control/store-machine.js';
 import { WatchStreams } from '../control/watch-streams.js';
-import { randomInt, randomUUID } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { SystemClock, type Clock } from '../common/clock.js';
-import { SeededRandom } from '../common/random.js';
 import { ReplicaHost, type ReplicaHostOptions } from '../consensus/replica-host.js';
 import { ControlClient } from '../follower/control-client.js';
 import { DiskFiles } from '../storage/disk-files.js';
@@ -32,13 +31,13 @@
 import { registerControlMetrics } from '../observe/control-metrics.js';
 import type { Logger } from '../observe/logger.js';
 import type { ControlSettings } from '../settings/schemas.js';
+import { processRandom } from './process-random.js';
 import { delay, within, type Program } from './program.js';
 
 const EXPIRE_INTERVAL_MS = 500;
 /** A replica that stops answers this long, so that clients are told to ask another. */
 const STOP_LINGER_MS = 200;
 const STOP_TIMEOUT_MS = 1_000;
-const MAX_SEED = 2 ** 31;
 const INTERNAL_PREFIX = '/internal/';
 
 /** What a deployment may have in its own way. */
@@ -147,7 +146,7 @@
   const { electionTimeoutMs, linkToken } = settings;
   return new ReplicaHost({
     clock,
-    random: new SeededRandom(randomInt(MAX_SEED)),
+    random: processRandom(),
     files: new DiskFiles(settings.dataDir),
     transport: new ReplicationSender(new ControlClient(linkToken), electionTimeoutMs),
     stateMachine: new StoreMachine(store, () => notifier.notify()),
--- a/src/programs/edge-program.ts
+++ b/src/programs/edge-program.ts
@@ -3,7 +3,6 @@
 import { EdgeServer } from '../call/edge-server.js';
 import { OutboundRouter } from '../call/outbound-router.js';
 import { SystemClock } from '../common/clock.js';
-import { SeededRandom } from '../common/random.js';
 import { ControlClient } from '../follower/control-client.js';
 import { Follower } from '../follower/follower.js';
 import { ConnectionPools } from '../http/connection-pools.js';
@@ -14,6 +13,7 @@
 import type { Logger } from '../observe/logger.js';
 import { ServiceDirectory } from '../routing/service-directory.js';
 import type { EdgeSettings } from '../settings/schemas.js';
+import { processRandom } from './process-random.js';
 import { delay, within, type Program } from './program.js';
 
 /** Connections that an edge opens to one node. */
@@ -23,7 +23,7 @@
 export async function startEdge(settings: EdgeSettings, logger: Logger): Promise<Program> {
   const clock = new SystemClock();
   const incarnation = Date.now();
-  const random = new SeededRandom(incarnation);
+  const random = processRandom();
   const stats = new CallStats();
   const pools = new ConnectionPools({ connections: CONNECTIONS_PER_NODE });
   let stopping = false;
--- a/src/programs/node-program.ts
+++ b/src/programs/node-program.ts
@@ -8,7 +8,6 @@
 import { NodeOutboundServer } from '../call/node-outbound-server.js';
 import { OutboundRouter } from '../call/outbound-router.js';
 import { SystemClock } from '../common/clock.js';
-import { SeededRandom } from '../common/random.js';
 import { ClaimReplica } from '../dedup/claim-replica.js';
 import { QuorumClaims, type QuorumClaimsOptions } from '../dedup/quorum-claims.js';
 import { ControlClient } from '../follower/control-client.js';
@@ -26,6 +25,7 @@
 import { DEFAULT_SERVICE_SPEC, type ServiceSpec } from '../policy/resource-schema.js';
 import { ServiceDirectory } from '../routing/service-directory.js';
 import type { NodeSettings } from '../settings/schemas.js';
+import { processRandom } from './process-random.js';
 import { delay, within, type Program } from './program.js';
 
 /** Connections that a node opens to one node of another service. */
@@ -41,7 +41,7 @@
 class NodeProcess {
   private readonly clock = new SystemClock();
   private readonly incarnation = Date.now();
-  private readonly random = new SeededRandom(this.incarnation);
+  private readonly random = processRandom();
   private readonly inboundStats = new CallStats();
   private readonly outboundStats = new CallStats();
   private readonly pools = new ConnectionPools({ connections: CONNECTIONS_PER_NODE });
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -15,7 +15,6 @@
 import { OutboundRouter } from '../call/outbound-router.js';
 import { RequestJournal } from '../call/request-journal.js';
 import { SystemClock } from '../common/clock.js';
-import { SeededRandom } from '../common/random.js';
 import { NO_CLAIMS } from '../dedup/no-claims.js';
 import type { ConfigurationView } from '../follower/configuration-view.js';
 import { ControlClient } from '../follower/control-client.js';
@@ -40,6 +39,7 @@
 import { ServiceDirectory } from '../routing/service-directory.js';
 import { WeightedSplit } from '../routing/weighted-split.js';
 import type { SidecarSettings } from '../settings/schemas.js';
+import { processRandom } from './process-random.js';
 import { delay, within, type Program } from './program.js';
 import { StopPhase, stopTimes } from '../call/stop-phase.js';
 
@@ -68,7 +68,7 @@
 class SidecarProcess {
   private readonly clock = new SystemClock();
   private readonly startedAt = Date.now();
-  private readonly random = new SeededRandom(this.startedAt ^ process.pid);
+  private readonly random = processRandom();
   private readonly inboundStats = new CallStats();
   private readonly outboundStats = new CallStats();
   private readonly links: LinkPool;
--- a/test/follower/follower.test.ts
+++ b/test/follower/follower.test.ts
@@ -1,11 +1,13 @@
 import { expect } from 'chai';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import type { HeartbeatReply } from '../../src/control/member-table.js';
+import { packSync } from '../support/pack-sync.js';
 import { HEARTBEAT_PATH, type SyncResponse } from '../../src/control/sync-protocol.js';
 import {
   ExchangeFailure,
   type ControlLink,
   type Exchange,
+  type ExchangeOptions,
 } from '../../src/follower/control-client.js';
 import { Follower, HEARTBEAT_INTERVAL_MS } from '../../src/follower/follower.js';
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
@@ -37,8 +39,7 @@
     origin: string,
     path: string,
     _message: unknown,
-    timeoutMs: number,
-    abort?: AbortSignal,
+    { timeoutMs, abort }: ExchangeOptions,
   ): Promise<Exchange<Answer>> {
     if (path === HEARTBEAT_PATH) {
       const ok: HeartbeatReply = { type: 'ok', revision: 1, isCurrent: true };
@@ -49,7 +50,8 @@
     return new Promise((resolve) => {
       abort?.addEventListener('abort', () => resolve(ABORTED));
       this.clock.schedule(timeoutMs, () => resolve(TIMED_OUT));
-      if (origin === 'second' && this.syncs.length < 5) resolve(answered(news() as Answer));
+      if (origin === 'second' && this.syncs.length < 5)
+        resolve(answered(packSync(news()) as Answer));
     });
   }
 }
--- a/test/follower/spread.test.ts
+++ b/test/follower/spread.test.ts
@@ -14,6 +14,8 @@
 
 const ORIGINS = ['lost', 'second', 'third', 'fourth'];
 const FOLLOWERS = 60;
+/** Generators with seeds close to each other begin with the same numbers. */
+const SEED_STEP = 0x9e3779b1;
 
 /** Four replicas, of which the first is gone. Notes where the last sync was sent. */
 class Replicas implements ControlLink {
@@ -27,8 +29,9 @@
       const answer: HeartbeatReply = { type: 'ok', revision: 1, isCurrent: true };
       return Promise.resolve({ type: 'answered', answer: answer as Answer });
     }
+    const timeoutMs = origin === 'lost' ? 500 : 12_000;
     return new Promise((resolve) => {
-      this.clock.schedule(500, () =>
+      this.clock.schedule(timeoutMs, () =>
         resolve({ type: 'failed', failure: ExchangeFailure.TimedOut, detail: 'no answer' }),
       );
     });
@@ -38,7 +41,7 @@
 async function originAfterLoss(seed: number): Promise<string> {
   const clock = new VirtualClock();
   const replicas = new Replicas(clock);
-  const random = new SeededRandom(seed);
+  const random = new SeededRandom(seed * SEED_STEP);
   const follower = new Follower({
     clock,
     // The first draw chooses the replica to begin with: the one that is lost.
--- a/test/follower/stale-sync.test.ts
+++ b/test/follower/stale-sync.test.ts
@@ -2,11 +2,14 @@
 import { expect } from 'chai';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import type { HeartbeatReply } from '../../src/control/member-table.js';
+import { packSync } from '../support/pack-sync.js';
 import { HEARTBEAT_PATH, type SyncResponse } from '../../src/control/sync-protocol.js';
 import {
   ExchangeFailure,
   type ControlLink,
   type Exchange,
+  type ExchangeOptions,
+  type ExchangeProgress,
 } from '../../src/follower/control-client.js';
 import { Follower } from '../../src/follower/follower.js';
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
@@ -30,6 +33,7 @@
   answersHeartbeats = true;
   /** Virtual times at which syncs were sent. */
   readonly syncTimes: number[] = [];
+  private heldProgress: ExchangeProgress | undefined;
   private answerHeld: ((exchange: Exchange<unknown>) => void) | undefined;
 
   constructor(private readonly clock: VirtualClock) {}
@@ -38,8 +42,7 @@
     _origin: string,
     path: string,
     _message: unknown,
-    timeoutMs: number,
-    abort?: AbortSignal,
+    { timeoutMs, abort, progress }: ExchangeOptions,
   ): Promise<Exchange<Answer>> {
     const timedOut = new Promise<Exchange<Answer>>((resolve) => {
       this.clock.schedule(timeoutMs, () => resolve(failed(ExchangeFailure.TimedOut)));
@@ -48,6 +51,7 @@
       return this.answersHeartbeats ? Promise.resolve(this.heartbeatReply()) : timedOut;
     }
     this.syncTimes.push(this.clock.now());
+    this.heldProgress = progress;
     const answer = new Promise<Exchange<Answer>>((resolve) => {
       abort?.addEventListener('abort', () => resolve(failed(ExchangeFailure.Aborted)));
       this.answerHeld = resolve as (exchange: Exchange<unknown>) => void;
@@ -68,7 +72,14 @@
       endpoints: [],
       endpointChanges: [],
     };
-    this.answerHeld?.({ type: 'answered', answer });
+    this.answerHeld?.({ type: 'answered', answer: packSync(answer) });
+  }
+
+  /** Bytes of an answer arrive for some time, without its end. */
+  answerSlowly(durationMs: number): void {
+    if (durationMs <= 0 || this.heldProgress === undefined) return;
+    this.heldProgress.receivedBytes += 1;
+    this.clock.schedule(STEP_MS, () => this.answerSlowly(durationMs - STEP_MS));
   }
 
   private heartbeatReply<Answer>(): Exchange<Answer> {
@@ -117,6 +128,15 @@
     },
     isSentAgain: false,
   },
+  {
+    name: 'a large answer is arriving',
+    happen: (replica, clock) => {
+      replica.revision = 2;
+      replica.answerSlowly(3_000);
+      clock.schedule(3_000, () => replica.answerSync());
+    },
+    isSentAgain: false,
+  },
   { name: 'there are no news', happen: () => undefined, isSentAgain: false },
 ];
 
--- /dev/null
+++ b/test/programs/process-random.test.ts
@@ -0,0 +1,14 @@
+import { expect } from 'chai';
+import { processRandom } from '../../src/programs/process-random.js';
+
+const PROCESSES = 300;
+const CHOICES = 3;
+
+describe('the random sources of processes that start together', () => {
+  it('begin with different choices', () => {
+    const counts = Array.from({ length: CHOICES }, () => 0);
+    for (let each = 0; each < PROCESSES; each += 1) counts[processRandom().below(CHOICES)]! += 1;
+    // 100 each are expected; fewer than 50 of one come by chance once in 10^9 runs.
+    for (const count of counts) expect(count).to.be.above(PROCESSES / CHOICES / 2);
+  });
+});
--- /dev/null
+++ b/test/support/pack-sync.ts
@@ -0,0 +1,8 @@
+/** The wire form of an answer to a sync, as a replica sends it. */
+import { packConfiguration, type PackedSync } from '../../src/control/sync-codec.js';
+import type { SyncResponse } from '../../src/control/sync-protocol.js';
+
+export function packSync(response: SyncResponse): PackedSync {
+  const { revision, resources, changes, ...endpointNews } = response;
+  return { configuration: packConfiguration({ revision, resources, changes }), ...endpointNews };
+}
