--- a/test/control/large-change.test.ts
+++ b/test/control/large-change.test.ts
@@ -3,12 +3,9 @@
 import { request } from 'undici';
 import { encodeMessage } from '../../src/common/message-codec.js';
 import { NO_REVISION, SYNC_PATH, type SyncRequest } from '../../src/control/sync-protocol.js';
-import { SILENT_LOGGER } from '../../src/observe/logger.js';
-import { startControl } from '../../src/programs/control-program.js';
-import { controlSettingsSchema } from '../../src/settings/schemas.js';
-import { Cleanup, planReplicas, until } from '../support/processes.js';
+import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
+import { Cleanup, until } from '../support/processes.js';
 
-const LINK_TOKEN = 'test-link-token-0123456789';
 const ROUTES = 1_500;
 /**
  * 200 followers that all follow one replica get the change over a link of 86 Mbit/s within half a second,
@@ -29,25 +26,8 @@
   after(() => cleanup.run());
 
   it('is sent to each follower in few bytes', async () => {
-    const [place] = await planReplicas(1);
-    const { origin } = place!;
-    const control = await startControl(
-      controlSettingsSchema.parse({
-        id: 'control-1',
-        zone: 'zone-a',
-        admin: '127.0.0.1:0',
-        listen: origin.slice('http://'.length),
-        advertise: origin,
-        seeds: [origin],
-        bootstrap: true,
-        dataDir: place!.dataDir,
-        electionTimeoutMs: 100,
-        declarations: 'open',
-        linkToken: LINK_TOKEN,
-      }),
-      SILENT_LOGGER,
-    );
-    cleanup.add(() => control.stop());
+    const control = await startLoneControl(cleanup);
+    const origin = control.origins.listen!;
     const resources = Array.from({ length: ROUTES }, (_, index) => route(index));
     const service = { kind: 'Service', name: 'ledger', spec: { connections: 8 } };
     await until(() => declare(origin, [service, ...resources]));
@@ -75,7 +55,7 @@
     };
     const response = await request(origin + SYNC_PATH, {
       method: 'POST',
-      headers: { authorization: `Bearer ${LINK_TOKEN}` },
+      headers: { authorization: `Bearer ${LONE_LINK_TOKEN}` },
       body: encodeMessage(message),
     });
     expect(response.statusCode).to.equal(200);
--- a/test/follower/follower.test.ts
+++ b/test/follower/follower.test.ts
@@ -9,10 +9,11 @@
   type Exchange,
   type ExchangeOptions,
 } from '../../src/follower/control-client.js';
-import { Follower, HEARTBEAT_INTERVAL_MS } from '../../src/follower/follower.js';
-import { SILENT_LOGGER } from '../../src/observe/logger.js';
+import { HEARTBEAT_INTERVAL_MS } from '../../src/follower/follower.js';
+import { advance, createTestFollower } from '../support/test-follower.js';
 
 const ORIGINS = ['first', 'second'];
+const STEP_MS = 50;
 const TIMED_OUT: Exchange<never> = {
   type: 'failed',
   failure: ExchangeFailure.TimedOut,
@@ -68,13 +69,6 @@
   };
 }
 
-async function advance(clock: VirtualClock, durationMs: number): Promise<void> {
-  for (let passed = 0; passed < durationMs; passed += 50) {
-    clock.advance(50);
-    for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
-  }
-}
-
 const CASES: { name: string; reply: HeartbeatReply | undefined; leaves: boolean }[] = [
   { name: 'is silent', reply: undefined, leaves: true },
   { name: 'has no leader', reply: { type: 'ok', revision: 0, isCurrent: false }, leaves: true },
@@ -87,27 +81,9 @@
       const clock = new VirtualClock();
       const link = new FakeLink(clock);
       link.firstHeartbeat = reply;
-      const follower = new Follower({
-        clock,
-        random: { next: () => 0, below: () => 0 },
-        client: link,
-        controlOrigins: ORIGINS,
-        logger: SILENT_LOGGER,
-        identity: () => ({
-          id: 'node-1',
-          role: 'node',
-          incarnation: 1,
-          zone: 'zone-a',
-          service: 'ledger',
-          origin: 'http://127.0.0.1:1',
-          claimEpoch: 0,
-        }),
-        onConfiguration: () => undefined,
-        onEndpoints: () => undefined,
-        onSuperseded: () => undefined,
-      });
+      const follower = createTestFollower({ clock, client: link, controlOrigins: ORIGINS });
       follower.start();
-      await advance(clock, 2 * HEARTBEAT_INTERVAL_MS);
+      await advance(clock, 2 * HEARTBEAT_INTERVAL_MS, STEP_MS);
       expect(link.syncs.includes('second')).to.equal(leaves);
       follower.stop();
     });
--- a/test/follower/forgotten-connection.test.ts
+++ b/test/follower/forgotten-connection.test.ts
@@ -6,14 +6,13 @@
 import { request } from 'undici';
 import { freePorts } from '../../lab/fleet/free-ports.js';
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
-import { startControl } from '../../src/programs/control-program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { controlSettingsSchema, sidecarSettingsSchema } from '../../src/settings/schemas.js';
+import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
+import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
 import { LoopbackProxy } from '../support/loopback-proxy.js';
-import { Cleanup, planReplicas, until } from '../support/processes.js';
+import { Cleanup, until } from '../support/processes.js';
 
 const ANY_ADDRESS = '127.0.0.1:0';
-const LINK_TOKEN = 'test-link-token-0123456789';
 /** A confirmed change is in force everywhere within this time: the promise of docs/PROOFS.md. */
 const IN_FORCE_MS = 2_000;
 
@@ -24,27 +23,10 @@
   let ingressOrigin: string;
 
   beforeEach(async () => {
-    const [place] = await planReplicas(1);
     const [port] = await freePorts(1);
     proxy = await LoopbackProxy.start(port!);
     cleanup.add(() => proxy.stop());
-    const control = await startControl(
-      controlSettingsSchema.parse({
-        id: 'control-1',
-        zone: 'zone-a',
-        admin: ANY_ADDRESS,
-        listen: `127.0.0.1:${port}`,
-        advertise: proxy.origin,
-        seeds: [proxy.origin],
-        bootstrap: true,
-        dataDir: place!.dataDir,
-        electionTimeoutMs: 100,
-        declarations: 'open',
-        linkToken: LINK_TOKEN,
-      }),
-      SILENT_LOGGER,
-    );
-    cleanup.add(() => control.stop());
+    await startLoneControl(cleanup, `127.0.0.1:${port}`, proxy.origin);
     await until(() => declare(1, 0, 'first'));
     const sidecar = await startSidecar(
       sidecarSettingsSchema.parse({
@@ -57,7 +39,7 @@
         admin: ANY_ADDRESS,
         control: [proxy.origin],
         heartbeatIntervalMs: 1_000,
-        linkToken: LINK_TOKEN,
+        linkToken: LONE_LINK_TOKEN,
         stop: { drainMs: 0, timeoutMs: 0 },
       }),
       SILENT_LOGGER,
--- a/test/follower/spread.test.ts
+++ b/test/follower/spread.test.ts
@@ -9,11 +9,11 @@
   type ControlLink,
   type Exchange,
 } from '../../src/follower/control-client.js';
-import { Follower } from '../../src/follower/follower.js';
-import { SILENT_LOGGER } from '../../src/observe/logger.js';
+import { advance, createTestFollower } from '../support/test-follower.js';
 
 const ORIGINS = ['lost', 'second', 'third', 'fourth'];
 const FOLLOWERS = 60;
+const STEP_MS = 50;
 /** Generators with seeds close to each other begin with the same numbers. */
 const SEED_STEP = 0x9e3779b1;
 
@@ -42,32 +42,16 @@
   const clock = new VirtualClock();
   const replicas = new Replicas(clock);
   const random = new SeededRandom(seed * SEED_STEP);
-  const follower = new Follower({
+  const follower = createTestFollower({
     clock,
     // The first draw chooses the replica to begin with: the one that is lost.
     random: { next: () => random.next(), below: firstZero((bound) => random.below(bound)) },
     client: replicas,
     controlOrigins: ORIGINS,
     heartbeatIntervalMs: 1_000,
-    logger: SILENT_LOGGER,
-    identity: () => ({
-      id: `node-${seed}`,
-      role: 'node',
-      incarnation: 1,
-      zone: 'zone-a',
-      service: 'ledger',
-      origin: 'http://127.0.0.1:1',
-      claimEpoch: 0,
-    }),
-    onConfiguration: () => undefined,
-    onEndpoints: () => undefined,
-    onSuperseded: () => undefined,
   });
   follower.start();
-  for (let step = 0; step < 30; step += 1) {
-    clock.advance(50);
-    for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
-  }
+  await advance(clock, 1_500, STEP_MS);
   follower.stop();
   return replicas.syncedWith;
 }
--- a/test/follower/stale-sync.test.ts
+++ b/test/follower/stale-sync.test.ts
@@ -11,8 +11,8 @@
   type ExchangeOptions,
   type ExchangeProgress,
 } from '../../src/follower/control-client.js';
-import { Follower } from '../../src/follower/follower.js';
-import { SILENT_LOGGER } from '../../src/observe/logger.js';
+import type { Follower } from '../../src/follower/follower.js';
+import { advance, createTestFollower } from '../support/test-follower.js';
 
 const HEARTBEAT_INTERVAL_MS = 1_000;
 /** A confirmed change is in force within this time of its confirmation. */
@@ -140,33 +140,12 @@
   { name: 'there are no news', happen: () => undefined, isSentAgain: false },
 ];
 
-async function advance(clock: VirtualClock, durationMs: number): Promise<void> {
-  for (let passed = 0; passed < durationMs; passed += STEP_MS) {
-    clock.advance(STEP_MS);
-    for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
-  }
-}
-
 function createFollower(clock: VirtualClock, client: ControlLink): Follower {
-  return new Follower({
+  return createTestFollower({
     clock,
-    random: { next: () => 0, below: () => 0 },
     client,
     controlOrigins: ['only'],
     heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
-    logger: SILENT_LOGGER,
-    identity: () => ({
-      id: 'node-1',
-      role: 'node',
-      incarnation: 1,
-      zone: 'zone-a',
-      service: 'ledger',
-      origin: 'http://127.0.0.1:1',
-      claimEpoch: 0,
-    }),
-    onConfiguration: () => undefined,
-    onEndpoints: () => undefined,
-    onSuperseded: () => undefined,
   });
 }
 
@@ -177,12 +156,12 @@
       const replica = new OneReplica(clock);
       const follower = createFollower(clock, replica);
       follower.start();
-      await advance(clock, HEARTBEAT_INTERVAL_MS + 2 * STEP_MS);
+      await advance(clock, HEARTBEAT_INTERVAL_MS + 2 * STEP_MS, STEP_MS);
       expect(replica.syncTimes).to.have.length(2);
       const [, heldSince] = replica.syncTimes;
       const happenedAt = clock.now();
       happen(replica, clock);
-      await advance(clock, isSentAgain ? IN_FORCE_MS : QUIET_MS);
+      await advance(clock, isSentAgain ? IN_FORCE_MS : QUIET_MS, STEP_MS);
       follower.stop();
       const later = replica.syncTimes.filter((time) => time > heldSince!);
       if (isSentAgain) expect(later[0]! - happenedAt).to.be.below(IN_FORCE_MS);
--- a/test/programs/sidecar.test.ts
+++ b/test/programs/sidecar.test.ts
@@ -1,16 +1,15 @@
 import { expect } from 'chai';
 import { request } from 'undici';
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
-import { startControl } from '../../src/programs/control-program.js';
 import type { Program } from '../../src/programs/program.js';
 import { isFramed } from '../../src/http/target-headers.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { controlSettingsSchema, sidecarSettingsSchema } from '../../src/settings/schemas.js';
+import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
 import { answer, ScriptedTarget, type Script } from '../support/scripted-target.js';
-import { Cleanup, planReplicas, until } from '../support/processes.js';
+import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
+import { Cleanup, until } from '../support/processes.js';
 
 const ANY_ADDRESS = '127.0.0.1:0';
-const LINK_TOKEN = 'test-link-token-0123456789';
 const CLOSED_SILENTLY = '';
 
 function route(name: string, semantics: string) {
@@ -37,25 +36,7 @@
   before(async () => {
     target = await ScriptedTarget.start();
     cleanup.add(() => target.stop());
-    const [place] = await planReplicas(1);
-    const { origin } = place!;
-    control = await startControl(
-      controlSettingsSchema.parse({
-        id: 'control-1',
-        zone: 'zone-a',
-        admin: ANY_ADDRESS,
-        listen: origin.slice('http://'.length),
-        advertise: origin,
-        seeds: [origin],
-        bootstrap: true,
-        dataDir: place!.dataDir,
-        electionTimeoutMs: 100,
-        declarations: 'open',
-        linkToken: LINK_TOKEN,
-      }),
-      SILENT_LOGGER,
-    );
-    cleanup.add(() => control.stop());
+    control = await startLoneControl(cleanup);
     const started = await startSidecar(
       sidecarSettingsSchema.parse({
         id: 'sidecar-1',
@@ -65,10 +46,10 @@
         outbound: ANY_ADDRESS,
         registration: ANY_ADDRESS,
         admin: ANY_ADDRESS,
-        control: [origin],
+        control: [control.origins.listen],
         heartbeatIntervalMs: 100,
         retries: { share: 1, burst: 100 },
-        linkToken: LINK_TOKEN,
+        linkToken: LONE_LINK_TOKEN,
         stop: { drainMs: 0, timeoutMs: 0 },
       }),
       SILENT_LOGGER,
--- /dev/null
+++ b/test/support/lone-control.ts
@@ -0,0 +1,41 @@
+/** A store of one control replica that takes whole declared sets, as sidecars follow it. */
+import { SILENT_LOGGER } from '../../src/observe/logger.js';
+import { startControl } from '../../src/programs/control-program.js';
+import type { Program } from '../../src/programs/program.js';
+import { controlSettingsSchema } from '../../src/settings/schemas.js';
+import { planReplicas, type Cleanup } from './processes.js';
+
+export const LONE_LINK_TOKEN = 'test-link-token-0123456789';
+
+/**
+ * Starts the replica.
+ * @param address `HOST:PORT` to listen at; one of its own choice if absent
+ * @param advertise origin under which others reach it; that of its address if absent
+ */
+export async function startLoneControl(
+  cleanup: Cleanup,
+  address?: string,
+  advertise?: string,
+): Promise<Program> {
+  const [place] = await planReplicas(1);
+  const listen = address ?? place!.origin.slice('http://'.length);
+  const origin = advertise ?? `http://${listen}`;
+  const control = await startControl(
+    controlSettingsSchema.parse({
+      id: 'control-1',
+      zone: 'zone-a',
+      admin: '127.0.0.1:0',
+      listen,
+      advertise: origin,
+      seeds: [origin],
+      bootstrap: true,
+      dataDir: place!.dataDir,
+      electionTimeoutMs: 100,
+      declarations: 'open',
+      linkToken: LONE_LINK_TOKEN,
+    }),
+    SILENT_LOGGER,
+  );
+  cleanup.add(() => control.stop());
+  return control;
+}
