Split the follower: heartbeats, the watch over syncs; survive an answer of another version

HeartbeatRound and SyncWatch are parts of their own; decisions are the same. An answer that can't be decoded would have ended the process since the configuration part is unpacked outside of the client: during an upgrade replicas of two versions answer. Now it fails the sync, is logged, and another replica is asked; a test feeds one. A stop ends the sync under way.

--- a/src/follower/control-client.ts
+++ b/src/follower/control-client.ts
@@ -19,6 +19,8 @@
   Refused = 'refused',
   /** No connection could be made, or it broke. */
   Unreachable = 'unreachable',
+  /** The answer can't be decoded. */
+  Unreadable = 'unreadable',
 }
 
 /** How one exchange with a control replica ended. */
--- a/src/follower/follower.ts
+++ b/src/follower/follower.ts
@@ -4,24 +4,21 @@
  */
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
-import type { Heartbeat, HeartbeatReply } from '../control/member-table.js';
+import type { Heartbeat } from '../control/member-table.js';
 import { unpackSync, type PackedSync } from '../control/sync-codec.js';
-import {
-  HEARTBEAT_PATH,
-  SYNC_HOLD_MS,
-  SYNC_PATH,
-  type SyncResponse,
-} from '../control/sync-protocol.js';
+import { SYNC_HOLD_MS, SYNC_PATH, type SyncResponse } from '../control/sync-protocol.js';
 import type { Logger } from '../observe/logger.js';
 import type { EndpointState } from '../routing/endpoint.js';
 import { ConfigurationView } from './configuration-view.js';
+import { ExchangeFailure, type ControlLink, type Exchange } from './control-client.js';
 import {
-  ExchangeFailure,
-  type ControlLink,
-  type Exchange,
-  type ExchangeProgress,
-} from './control-client.js';
+  isCurrent,
+  sendHeartbeat,
+  type CurrentReply,
+  type ReplicaReply,
+} from './heartbeat-round.js';
 import { SyncJournal } from './sync-journal.js';
+import { SyncWatch } from './sync-watch.js';
 
 /** What a follower is made of. */
 export interface FollowerOptions {
@@ -50,28 +47,6 @@
 /** Longest silence on a sync before another replica is asked. */
 const SYNC_TIMEOUT_MS = SYNC_HOLD_MS + 2_000;
 const RETRY_DELAY_MS = 200;
-/**
- * Time that the answer to a sync may come later than that to a heartbeat which tells of the same news.
- * The replica writes both within a few milliseconds; the rest is for a lost packet, sent again after 200 ms.
- */
-const NEWS_GRACE_MS = 250;
-
-/** The answer of one replica to a heartbeat; undefined when there was none in time. */
-interface ReplicaReply {
-  readonly origin: string;
-  readonly reply: HeartbeatReply | undefined;
-  readonly timedOut: boolean;
-  /** Milliseconds until it came. */
-  readonly tookMs: number;
-}
-
-type CurrentReply = Extract<HeartbeatReply, { type: 'ok' }>;
-
-/** The answer of a replica that has a leader. */
-interface CurrentReplicaReply extends ReplicaReply {
-  readonly reply: CurrentReply;
-}
-
 export class Follower {
   readonly view = new ConfigurationView();
   private state: EndpointState;
@@ -84,16 +59,8 @@
   private currentAt: number;
   /** Newest revision that any replica gave out at the heartbeat before. */
   private newestRevision = 0;
-  private syncProgress: ExchangeProgress = { receivedBytes: 0 };
-  /** Ends the sync under way. */
-  private syncAbort = new AbortController();
-  /** Start of the replica that the sync under way was sent to, once a heartbeat has told of it. */
-  private syncedStart: string | undefined;
-  /** Whether the followed replica has left a heartbeat unanswered since the sync was sent. */
-  private syncIsDoubtful = false;
-  /** Starts of the replicas by their origins, as heartbeats have told. */
-  private readonly toldStarts = new Map<string, string>();
   private readonly journal: SyncJournal;
+  private readonly watch: SyncWatch;
 
   constructor(private readonly options: FollowerOptions) {
     this.seeds = options.controlOrigins;
@@ -102,6 +69,7 @@
     this.currentAt = options.clock.now();
     this.state = 'ready';
     this.journal = new SyncJournal(options.clock, options.logger);
+    this.watch = new SyncWatch(options.clock, this.view, this.journal);
   }
 
   /** Newest revision that a heartbeat's answer has told of; 0 before the first. */
@@ -151,6 +119,7 @@
 
   stop(): void {
     this.stopped = true;
+    this.watch.abort();
     this.heartbeatTimer?.cancel();
   }
 
@@ -172,18 +141,8 @@
       appliedRevision: this.view.appliedRevision,
     };
     const timeoutMs = this.heartbeatIntervalMs * HEARTBEAT_TIMEOUT_FRACTION;
-    const replies = await Promise.all(
-      this.origins.map(async (origin): Promise<ReplicaReply> => {
-        const { client, clock } = this.options;
-        const sentAt = clock.now();
-        const sent = client.send<HeartbeatReply>(origin, HEARTBEAT_PATH, heartbeat, { timeoutMs });
-        const exchange = await sent;
-        const reply = exchange.type === 'answered' ? exchange.answer : undefined;
-        const timedOut =
-          exchange.type === 'failed' && exchange.failure === ExchangeFailure.TimedOut;
-        return { origin, reply, timedOut, tookMs: clock.now() - sentAt };
-      }),
-    );
+    const { client, clock } = this.options;
+    const replies = await sendHeartbeat(client, clock, this.origins, heartbeat, timeoutMs);
     this.judgeReplicas(replies);
     // All kept connections may be dead; the next attempt makes new ones.
     const isSilence = replies.every(({ reply }) => reply === undefined);
@@ -195,9 +154,9 @@
   /** Leaves a replica that is silent, has no leader, or is behind, while another one is well. */
   private judgeReplicas(replies: readonly ReplicaReply[]): void {
     const followed = replies.find(({ origin }) => origin === this.origin);
-    if (followed?.timedOut === true) this.syncIsDoubtful = true;
+    if (followed?.timedOut === true) this.watch.onHeartbeatLost();
     const current = replies.filter(isCurrent);
-    this.rememberStarts(current);
+    this.watch.onReplies(current);
     const newest = this.oneOfNewest(current);
     if (newest === undefined) {
       this.origins = merged(this.origins, this.seeds);
@@ -207,10 +166,10 @@
     this.adoptOrigins(current);
     this.journal.onTold(newest.origin, newest.reply.revision, this.view.appliedRevision);
     const own = current.find(({ origin }) => origin === this.origin);
-    const isBehind = own !== undefined && this.isBehind(own.reply);
+    const isBehind = own !== undefined && this.isBehind(own);
     this.newestRevision = newest.reply.revision;
     if (own !== undefined && !isBehind) {
-      this.checkSync(own);
+      this.watch.check(own);
       return;
     }
     this.options.logger.info('Another control replica is followed.', {
@@ -219,64 +178,23 @@
       origin: newest.origin,
     });
     this.origin = newest.origin;
-    this.syncAbort.abort();
+    this.watch.abort();
   }
 
   /** One of the replicas that tell of the newest revision: by lot, so that followers spread. */
-  private oneOfNewest(current: readonly CurrentReplicaReply[]): CurrentReplicaReply | undefined {
+  private oneOfNewest(current: readonly CurrentReply[]): CurrentReply | undefined {
     const newestRevision = Math.max(...current.map(({ reply }) => reply.revision));
     const newest = current.filter(({ reply }) => reply.revision === newestRevision);
     return newest.length === 0 ? undefined : newest[this.options.random.below(newest.length)];
   }
 
   /** Whether the followed replica lacks a revision that another one gave out a heartbeat ago. */
-  private isBehind(own: CurrentReply): boolean {
+  private isBehind({ reply: own }: CurrentReply): boolean {
     const { newestRevision } = this;
     return own.revision < newestRevision && this.view.appliedRevision < newestRevision;
   }
 
-  /**
-   * Ends the sync under way if it waits in vain. A replica whose machine has lost power, or a cut, resets
-   * no connection: the sync would wait for its time limit, while heartbeats are answered again. These
-   * show it: one had gone unanswered, or they tell that the replica was restarted or has news that the
-   * sync would have brought.
-   */
-  private checkSync({ origin, reply, tookMs }: CurrentReplicaReply): void {
-    const { endpoints, revision } = reply;
-    const start = this.toldStarts.get(origin);
-    if (this.syncIsDoubtful) {
-      this.syncAgain('the replica had not answered a heartbeat');
-      return;
-    }
-    if (this.syncedStart !== undefined && this.syncedStart !== start) {
-      this.syncAgain('the replica was restarted');
-      return;
-    }
-    this.syncedStart = start;
-    if (!this.view.lacks(revision, endpoints)) return;
-    const sync = this.syncAbort;
-    const { receivedBytes } = this.syncProgress;
-    this.options.clock.schedule(NEWS_GRACE_MS + tookMs, () => {
-      const isUnderWay = !this.stopped && this.syncAbort === sync;
-      const isArriving = this.syncProgress.receivedBytes > receivedBytes;
-      if (isUnderWay && !isArriving && this.view.lacks(revision, endpoints)) {
-        this.syncAgain('the replica has news that it did not bring');
-      }
-    });
-  }
-
-  private rememberStarts(replies: readonly CurrentReplicaReply[]): void {
-    for (const { origin, reply } of replies) {
-      if (reply.endpoints !== undefined) this.toldStarts.set(origin, reply.endpoints.source);
-    }
-  }
-
-  private syncAgain(cause: string): void {
-    this.journal.onGivenUp(cause);
-    this.syncAbort.abort();
-  }
-
-  private adoptOrigins(current: readonly { readonly reply: CurrentReply }[]): void {
+  private adoptOrigins(current: readonly CurrentReply[]): void {
     const told = current.flatMap(({ reply }) => reply.controlOrigins ?? []);
     if (told.length > 0) this.origins = [...new Set(told)];
   }
@@ -284,13 +202,9 @@
   private async follow(): Promise<void> {
     while (!this.stopped) {
       const { origin } = this;
-      this.syncAbort = new AbortController();
-      this.syncedStart = this.toldStarts.get(origin);
-      this.syncIsDoubtful = false;
-      this.journal.onSent(origin);
       const exchange = await this.sync(origin);
       this.journal.onEnd(exchange);
-      if (exchange.type === 'answered') this.adopt(unpackSync(exchange.answer));
+      if (exchange.type === 'answered') this.adopt(exchange.answer);
       else if (exchange.failure !== ExchangeFailure.Aborted) {
         if (this.origin === origin) this.origin = this.otherThan(origin);
         await new Promise<void>((resolve) => this.options.clock.schedule(RETRY_DELAY_MS, resolve));
@@ -298,13 +212,22 @@
     }
   }
 
-  private sync(origin: string): Promise<Exchange<PackedSync>> {
-    this.syncProgress = { receivedBytes: 0 };
-    return this.options.client.send(origin, SYNC_PATH, this.view.request(), {
-      timeoutMs: SYNC_TIMEOUT_MS,
-      abort: this.syncAbort.signal,
-      progress: this.syncProgress,
-    });
+  private async sync(origin: string): Promise<Exchange<SyncResponse>> {
+    const watched = this.watch.begin(origin);
+    this.journal.onSent(origin);
+    const exchange = await this.options.client.send<PackedSync>(
+      origin,
+      SYNC_PATH,
+      this.view.request(),
+      { timeoutMs: SYNC_TIMEOUT_MS, ...watched },
+    );
+    if (exchange.type === 'failed') return exchange;
+    try {
+      return { type: 'answered', answer: unpackSync(exchange.answer) };
+    } catch (error) {
+      // A replica of another version: the next one may be of this one.
+      return { type: 'failed', failure: ExchangeFailure.Unreadable, detail: String(error) };
+    }
   }
 
   /** Another replica than `origin`, by lot; the same one where there is no other. */
@@ -327,10 +250,6 @@
   }
 }
 
-function isCurrent(answer: ReplicaReply): answer is CurrentReplicaReply {
-  return answer.reply?.type === 'ok' && answer.reply.isCurrent;
-}
-
 /** Both lists, each origin once. */
 function merged(first: readonly string[], second: readonly string[]): readonly string[] {
   return [...new Set([...first, ...second])];
--- /dev/null
+++ b/src/follower/heartbeat-round.ts
@@ -0,0 +1,52 @@
+/** One heartbeat to every replica, and what each of them answered. */
+import type { Clock } from '../common/clock.js';
+import type { Heartbeat, HeartbeatReply } from '../control/member-table.js';
+import { HEARTBEAT_PATH } from '../control/sync-protocol.js';
+import { ExchangeFailure, type ControlLink } from './control-client.js';
+
+/** The answer of one replica; undefined when there was none in time. */
+export interface ReplicaReply {
+  readonly origin: string;
+  readonly reply: HeartbeatReply | undefined;
+  readonly timedOut: boolean;
+  /** Milliseconds until it came. */
+  readonly tookMs: number;
+}
+
+/** The answer of a replica that has a leader. */
+export interface CurrentReply extends ReplicaReply {
+  readonly reply: Extract<HeartbeatReply, { type: 'ok' }>;
+}
+
+/** Whether a replica has a leader, so that it hears of every change. */
+export function isCurrent(answer: ReplicaReply): answer is CurrentReply {
+  return answer.reply?.type === 'ok' && answer.reply.isCurrent;
+}
+
+/** Sends a heartbeat to all `origins`. Resolves when each has answered or failed. */
+export function sendHeartbeat(
+  client: ControlLink,
+  clock: Clock,
+  origins: readonly string[],
+  heartbeat: Heartbeat,
+  timeoutMs: number,
+): Promise<ReplicaReply[]> {
+  const sentAt = clock.now();
+  return Promise.all(
+    origins.map(async (origin): Promise<ReplicaReply> => {
+      const options = { timeoutMs };
+      const exchange = await client.send<HeartbeatReply>(
+        origin,
+        HEARTBEAT_PATH,
+        heartbeat,
+        options,
+      );
+      const tookMs = clock.now() - sentAt;
+      if (exchange.type === 'answered') {
+        return { origin, reply: exchange.answer, timedOut: false, tookMs };
+      }
+      const timedOut = exchange.failure === ExchangeFailure.TimedOut;
+      return { origin, reply: undefined, timedOut, tookMs };
+    }),
+  );
+}
--- a/test/follower/stale-sync.test.ts
+++ b/test/follower/stale-sync.test.ts
@@ -75,6 +75,11 @@
     this.answerHeld?.({ type: 'answered', answer: packSync(answer) });
   }
 
+  /** Answers the sync that is held with something of another version. */
+  answerUnreadably(): void {
+    this.answerHeld?.({ type: 'answered', answer: { revision: 2, changes: [] } });
+  }
+
   /** Bytes of an answer arrive for some time, without its end. */
   answerSlowly(durationMs: number): void {
     if (durationMs <= 0 || this.heldProgress === undefined) return;
@@ -149,6 +154,24 @@
   });
 }
 
+describe('an answer to a sync that can not be read', () => {
+  it('makes the follower ask again, and ends nothing', async () => {
+    const clock = new VirtualClock();
+    const replica = new OneReplica(clock);
+    const follower = createFollower(clock, replica);
+    follower.start();
+    await advance(clock, HEARTBEAT_INTERVAL_MS + 2 * STEP_MS, STEP_MS);
+    replica.answerUnreadably();
+    await advance(clock, HEARTBEAT_INTERVAL_MS, STEP_MS);
+    expect(replica.syncTimes).to.have.length(3);
+    replica.revision = 2;
+    replica.answerSync();
+    await advance(clock, HEARTBEAT_INTERVAL_MS, STEP_MS);
+    expect(follower.view.appliedRevision).to.equal(2);
+    follower.stop();
+  });
+});
+
 describe('a held sync', () => {
   for (const { name, happen, isSentAgain } of CASES) {
     it(`is ${isSentAgain ? 'sent again' : 'left alone'} when ${name}`, async () => {
