--- a/bench/bench-target.ts
+++ b/bench/bench-target.ts
@@ -6,7 +6,13 @@
 
 const server = createServer((message, response) => {
   message.resume();
-  response.writeHead(200, { 'content-length': BODY.length, 'content-type': 'text/plain' });
+  const requestId = message.headers['x-request-id'];
+  response.writeHead(200, {
+    'content-length': BODY.length,
+    'content-type': 'text/plain',
+    // A sidecar takes only answers that name their request.
+    ...(requestId !== undefined && { 'x-request-id': requestId }),
+  });
   response.end(BODY);
 });
 server.keepAliveTimeout = 60_000;
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -16,7 +16,11 @@
 export class LoadSource {
   private readonly pool: Pool;
 
-  constructor(origin: string) {
+  /** @param headers sent with each request */
+  constructor(
+    origin: string,
+    private readonly headers: Readonly<Record<string, string>> = {},
+  ) {
     this.pool = new Pool(origin, { connections: CONNECTIONS, pipelining: 1 });
   }
 
@@ -56,7 +60,11 @@
   private async send(): Promise<number> {
     const sentAt = performance.now();
     try {
-      const response = await this.pool.request({ method: 'GET', path: BENCH_PATH });
+      const response = await this.pool.request({
+        method: 'GET',
+        path: BENCH_PATH,
+        headers: this.headers,
+      });
       await response.body.dump();
       return response.statusCode === 200 ? performance.now() - sentAt : Number.NaN;
     } catch {
--- /dev/null
+++ b/bench/sidecar-cost.ts
@@ -0,0 +1,154 @@
+/**
+ * What sidecars cost, three figures apart: a start, an idle second, a call; each at several sizes of the
+ * fleet, beside two bare proxies in the same run. Usage: npm run bench:sidecars [-- --sizes 2,8,24]
+ */
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { cac } from 'cac';
+import { median } from '../lab/experiment/summary.js';
+import { FleetChild } from '../lab/fleet/child-process.js';
+import { LoadSource, quantile, type LoadResult } from './load.js';
+import { processorMs, residentMegabytes } from './process-usage.js';
+import { BENCH_HOST, SidecarFleet } from './sidecar-fleet.js';
+
+const SCRIPTS = {
+  target: fileURLToPath(new URL('./bench-target.js', import.meta.url)),
+  proxy: fileURLToPath(new URL('./bare-proxy.js', import.meta.url)),
+};
+const REQUEST_HEADERS = { host: BENCH_HOST, 'x-request-id': 'bench' };
+const WARMUP_CALLS = 3_000;
+const MEASURED_CALLS = 10_000;
+const CONCURRENCY = 16;
+/** After the start a fleet still learns its endpoints and its engine still compiles. */
+const SETTLE_MS = 5_000;
+const IDLE_MS = 5_000;
+const MILLISECONDS = 1_000;
+
+/** The figures of one fleet. */
+interface FleetFigures {
+  readonly size: number;
+  readonly startMs: number;
+  readonly startProcessorMs: number;
+  /** Processor milliseconds a second of one idle sidecar. */
+  readonly idleMsPerSecond: number;
+  readonly processorMsPerCall: number;
+  readonly p50Ms: number;
+  readonly megabytes: number;
+}
+
+function used(pids: readonly number[]): number {
+  return pids.reduce((sum, pid) => sum + processorMs(pid), 0);
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+function failOnErrors(name: string, result: LoadResult): LoadResult {
+  if (result.failed > 0) throw new Error(`${name}: ${result.failed} requests failed`);
+  return result;
+}
+
+async function measureFleet(workDir: string, target: string, size: number): Promise<FleetFigures> {
+  const fleet = new SidecarFleet(workDir, new URL(target).host);
+  try {
+    await fleet.start(size);
+    const pids = fleet.sidecars.map(({ child }) => child.pid);
+    const startProcessorMs = median(pids.map(processorMs));
+    await sleep(SETTLE_MS);
+    const idleFrom = used(pids);
+    await sleep(IDLE_MS);
+    const idleMsPerSecond = ((used(pids) - idleFrom) * MILLISECONDS) / IDLE_MS / size;
+    const ingress = fleet.sidecars.find(({ service }) => service === 'caller')!.child;
+    const source = new LoadSource(ingress.origin('outbound'), REQUEST_HEADERS);
+    failOnErrors('warm-up', await source.atOnce(CONCURRENCY, WARMUP_CALLS));
+    const callsFrom = used(pids);
+    const load = failOnErrors('sidecars', await source.atOnce(CONCURRENCY, MEASURED_CALLS));
+    const idleMs = (idleMsPerSecond * size * load.durationMs) / MILLISECONDS;
+    const processorMsPerCall = (used(pids) - callsFrom - idleMs) / MEASURED_CALLS;
+    await source.close();
+    return {
+      size,
+      startMs: median(fleet.sidecars.map(({ startMs }) => startMs)),
+      startProcessorMs,
+      idleMsPerSecond,
+      processorMsPerCall,
+      p50Ms: quantile(load.latenciesMs, 0.5),
+      megabytes: median(pids.map(residentMegabytes)),
+    };
+  } finally {
+    await fleet.kill();
+  }
+}
+
+/** Processor milliseconds a call of two bare proxies in a row. */
+async function measureBareProxies(workDir: string, target: string): Promise<number> {
+  const start = (name: string, origin: string): Promise<FleetChild> =>
+    FleetChild.start(name, SCRIPTS.proxy, [origin], join(workDir, `${name}.log`));
+  const inner = await start('bare-inner', target);
+  const outer = await start('bare-outer', inner.origin('listen'));
+  try {
+    const source = new LoadSource(outer.origin('listen'), REQUEST_HEADERS);
+    failOnErrors('warm-up', await source.atOnce(CONCURRENCY, WARMUP_CALLS));
+    const pids = [inner.pid, outer.pid];
+    const from = used(pids);
+    failOnErrors('bare proxies', await source.atOnce(CONCURRENCY, MEASURED_CALLS));
+    const perCall = (used(pids) - from) / MEASURED_CALLS;
+    await source.close();
+    return perCall;
+  } finally {
+    await Promise.all([inner.kill(), outer.kill()]);
+  }
+}
+
+function report(figures: FleetFigures, bareMsPerCall: number): void {
+  const ratio = (figures.processorMsPerCall / bareMsPerCall).toFixed(2);
+  process.stdout.write(
+    `${figures.size} sidecars: start ${figures.startMs.toFixed(0)} ms ` +
+      `(${figures.startProcessorMs.toFixed(0)} ms processor), ` +
+      `idle ${figures.idleMsPerSecond.toFixed(1)} ms processor a second, ` +
+      `call ${figures.processorMsPerCall.toFixed(3)} ms processor (${ratio} of two bare proxies), ` +
+      `p50 ${figures.p50Ms.toFixed(2)} ms, ${figures.megabytes.toFixed(0)} MB\n`,
+  );
+}
+
+async function run(sizes: readonly number[]): Promise<void> {
+  const workDir = mkdtempSync(join(tmpdir(), 'shoredoor-bench-'));
+  const target = await FleetChild.start('target', SCRIPTS.target, [], join(workDir, 'target.log'));
+  try {
+    const origin = target.origin('listen');
+    const bareMsPerCall = await measureBareProxies(workDir, origin);
+    process.stdout.write(`two bare proxies: ${bareMsPerCall.toFixed(3)} ms processor a call\n`);
+    for (const size of sizes) {
+      const fleetDir = mkdtempSync(join(workDir, `fleet-${size}-`));
+      report(await measureFleet(fleetDir, origin, size), bareMsPerCall);
+    }
+  } finally {
+    await target.kill();
+  }
+}
+
+/** The sizes in `2,8,24`. Throws where one is no whole number of at least 2. */
+function parseSizes(text: string): number[] {
+  const sizes = text.split(',').map(Number);
+  if (sizes.some((size) => !Number.isInteger(size) || size < 2)) {
+    throw new Error(`--sizes takes whole numbers of at least 2, with commas between: ${text}`);
+  }
+  return sizes;
+}
+
+const cli = cac('bench:sidecars');
+cli
+  .command('', 'Measure what sidecars cost')
+  .option('--sizes <list>', 'Numbers of sidecars', { default: '2,8,24' })
+  .action((options: { sizes: string | number }) => run(parseSizes(String(options.sizes))));
+cli.help();
+cli.parse(process.argv, { run: false });
+try {
+  await cli.runMatchedCommand();
+} catch (error) {
+  process.stderr.write(`bench: ${error instanceof Error ? error.message : String(error)}\n`);
+  process.exitCode = 2;
+}
--- /dev/null
+++ b/bench/sidecar-fleet.ts
@@ -0,0 +1,128 @@
+/** A control replica and sidecars as real processes on loopback, all beside one stand-in target. */
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import { FleetChild } from '../lab/fleet/child-process.js';
+import { freePorts } from '../lab/fleet/free-ports.js';
+
+const PRODUCT_SCRIPT = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+const LINK_TOKEN = 'bench-link-token-0123456789';
+const ANY_PORT = { host: '127.0.0.1', port: 0 };
+/** As targets of the users' platform report themselves. */
+const REPORT_INTERVAL_MS = 1_500;
+const TARGET_SLOTS = 64;
+const RETRY_MS = 50;
+
+/** Host of the one declared route. */
+export const BENCH_HOST = 'bench.example';
+/** Sidecars at which requests begin, and those beside targets of the called service. */
+const SERVICES = ['caller', 'callee'] as const;
+
+/** One sidecar and what its start took. */
+export interface MeasuredSidecar {
+  readonly child: FleetChild;
+  readonly service: (typeof SERVICES)[number];
+  /** Milliseconds from its start until it listens. */
+  readonly startMs: number;
+}
+
+export class SidecarFleet {
+  readonly sidecars: MeasuredSidecar[] = [];
+  private control: FleetChild | undefined;
+  private controlOrigin = '';
+  private reports: NodeJS.Timeout | undefined;
+  private sequence = 0;
+
+  /** @param targetAddress `HOST:PORT` of the target that all sidecars have */
+  constructor(
+    private readonly workDir: string,
+    private readonly targetAddress: string,
+  ) {}
+
+  /** Starts control and `count` sidecars, one after the other, and keeps their targets reported. */
+  async start(count: number): Promise<void> {
+    await this.startControl();
+    await this.declare();
+    for (let index = 0; index < count; index += 1) await this.startSidecar(index);
+    await this.reportTargets();
+    this.reports = setInterval(() => void this.reportTargets(), REPORT_INTERVAL_MS);
+  }
+
+  /** Ends every process that was started here. */
+  async kill(): Promise<void> {
+    clearInterval(this.reports);
+    await Promise.all(this.sidecars.map(({ child }) => child.kill()));
+    await this.control?.kill();
+  }
+
+  private async startControl(): Promise<void> {
+    const [port = 0] = await freePorts(1);
+    this.controlOrigin = `http://127.0.0.1:${port}`;
+    this.control = await this.startProgram('control', 'control-1', {
+      listen: { host: '127.0.0.1', port },
+      advertise: this.controlOrigin,
+      seeds: [this.controlOrigin],
+      bootstrap: true,
+      dataDir: join(this.workDir, 'control-1'),
+      declarations: 'open',
+    });
+  }
+
+  private async declare(): Promise<void> {
+    const place = { host: BENCH_HOST, pathPrefix: '/bench/', service: 'callee' };
+    const limits = { timeoutMs: 5_000, objectiveMs: 2_000, rank: 0, maxTargets: 2 };
+    const resources = [
+      { kind: 'Route', name: 'item', spec: { ...place, ...limits, semantics: 'repeatable' } },
+      ...SERVICES.map((name) => ({ kind: 'Service', name, spec: { connections: 128 } })),
+    ];
+    for (;;) {
+      const response = await request(`${this.controlOrigin}/v1/declarations`, {
+        method: 'PUT',
+        headers: { 'if-match': '0' },
+        body: JSON.stringify({ version: 1, resources }),
+      });
+      await response.body.dump();
+      if (response.statusCode === 200) return;
+      await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+    }
+  }
+
+  private async startSidecar(index: number): Promise<void> {
+    const service = SERVICES[index % SERVICES.length]!;
+    const startedAt = performance.now();
+    const child = await this.startProgram('sidecar', `sidecar-${index}`, {
+      service,
+      inbound: ANY_PORT,
+      outbound: ANY_PORT,
+      registration: ANY_PORT,
+      control: [this.controlOrigin],
+      heartbeatIntervalMs: 1_000,
+    });
+    this.sidecars.push({ child, service, startMs: performance.now() - startedAt });
+  }
+
+  private startProgram(program: string, id: string, settings: object): Promise<FleetChild> {
+    const file = join(this.workDir, `${id}.yaml`);
+    const common = { id, zone: 'zone-a', admin: ANY_PORT, linkToken: LINK_TOKEN };
+    writeFileSync(file, stringify({ ...common, ...settings }));
+    const args = [program, '--config', file];
+    return FleetChild.start(id, PRODUCT_SCRIPT, args, join(this.workDir, `${id}.log`));
+  }
+
+  private async reportTargets(): Promise<void> {
+    this.sequence += 1;
+    const { sequence, targetAddress: address } = this;
+    await Promise.all(
+      this.sidecars.map(async ({ child, service }) => {
+        const origin = child.origin('registration');
+        const response = await request(`${origin}/v1/instances/${child.name}-target`, {
+          method: 'PUT',
+          body: JSON.stringify({ service, address, slots: TARGET_SLOTS, state: 'ready', sequence }),
+        });
+        await response.body.dump();
+      }),
+    );
+  }
+}
