--- a/bench/sidecar-cost.ts
+++ b/bench/sidecar-cost.ts
@@ -21,9 +21,12 @@
 const WARMUP_CALLS = 3_000;
 const MEASURED_CALLS = 10_000;
 const CONCURRENCY = 16;
-/** After the start a fleet still learns its endpoints and its engine still compiles. */
-const SETTLE_MS = 5_000;
-const IDLE_MS = 5_000;
+/**
+ * After a start the engine compiles what runs often: idle processes took 8 to 23 ms a second in the first
+ * 5 s and 3 to 5 from 25 s on, two or sixteen of them alike.
+ */
+const SETTLE_MS = 25_000;
+const IDLE_MS = 10_000;
 const MILLISECONDS = 1_000;
 
 /** The figures of one fleet. */
