Judge a waiting call by what its own kind takes in the target

Cause (CONFIG, an added route is not served): a gate refuses a call at once that can't finish before its deadline, and took the mean of all kinds for the time that it needs. Behind targets whose usual calls last over a second under load, a route with a shorter limit never got in while all slots were taken. Class: one estimate for unlike things. Change: means by kind (HeldTimes); a kind that was not answered yet is given the benefit. The queue's bound keeps the mean over all.

--- a/src/admission/admission-controller.ts
+++ b/src/admission/admission-controller.ts
@@ -7,6 +7,7 @@
 import type { Importance } from '../policy/importance.js';
 import type { ConcurrencyLimiter, SampleOutcome } from './concurrency-limiter.js';
 import { GroupUsage } from './group-usage.js';
+import { HeldTimes } from './held-times.js';
 import type { SharingOrder } from './sharing-policy.js';
 import { WaitingCalls, type GroupState, type WaitingCall } from './waiting-calls.js';
 
@@ -70,7 +71,6 @@
 }
 
 const MIN_QUEUE_CAPACITY = 2;
-const SERVICE_TIME_WEIGHT = 0.05;
 /**
  * Important calls may wait longer, in multiples of the declared wait: by importance, least first. They
  * pass the others in the queue, so a longer wait lets them through chance bursts.
@@ -114,7 +114,7 @@
 export class AdmissionController {
   private readonly waiting: WaitingCalls<QueuedCall>;
   private inFlight = 0;
-  private meanHeldMs: number | undefined;
+  private readonly heldTimes = new HeldTimes();
   private offeredRecently = 0;
   private admittedRecently = 0;
   private recentlyAt = 0;
@@ -208,7 +208,7 @@
    * finish before its deadline.
    */
   private patienceMs(request: AdmissionRequest, now: number): number {
-    const usableMs = request.deadlineAt - now - (this.meanHeldMs ?? 0);
+    const usableMs = request.deadlineAt - now - this.expectedHeldMs(request);
     const longestMs =
       request.waitUntil === undefined
         ? this.options.queueWaitMs() * WAIT_FACTORS[request.importance]!
@@ -216,9 +216,14 @@
     return Math.min(longestMs, usableMs);
   }
 
+  /** Time in the target that a call needs; a kind that was not answered yet is given the benefit. */
+  private expectedHeldMs({ kind }: AdmissionRequest): number {
+    return this.heldTimes.meanOf(kind) ?? 0;
+  }
+
   /** Calls that can be expected to enter within the longest wait. */
   private queueCapacity(): number {
-    const heldMs = Math.max(this.meanHeldMs ?? 1, 0.1);
+    const heldMs = Math.max(this.heldTimes.meanMs ?? 1, 0.1);
     const longestMs = this.options.queueWaitMs() * LONGEST_WAIT_FACTOR;
     const perWait = (this.options.limiter.limit * longestMs) / heldMs;
     return Math.max(MIN_QUEUE_CAPACITY, Math.ceil(perWait));
@@ -227,7 +232,7 @@
   private giveUp(call: QueuedCall): void {
     if (!this.waiting.remove(call)) return;
     const remainingMs = call.request.deadlineAt - this.options.clock.now();
-    const tooLate = remainingMs <= (this.meanHeldMs ?? 0);
+    const tooLate = remainingMs <= this.expectedHeldMs(call.request);
     call.listener.onRefused(tooLate ? 'deadline' : 'overload', this.retryAfterSeconds());
   }
 
@@ -268,10 +273,7 @@
     nestedMs: number,
   ): void {
     const heldMs = now - startedAt;
-    if (outcome === 'answered') {
-      const mean = this.meanHeldMs ?? heldMs;
-      this.meanHeldMs = mean + SERVICE_TIME_WEIGHT * (heldMs - mean);
-    }
+    if (outcome === 'answered') this.heldTimes.onAnswered(kind, heldMs);
     const latencyMs = Math.max(0, heldMs - nestedMs);
     const sample = { kind, latencyMs, heldMs, inFlight, startedAt, outcome };
     this.options.limiter.onSample(sample, now);
--- /dev/null
+++ b/src/admission/held-times.ts
@@ -0,0 +1,35 @@
+/**
+ * How long calls are in the target: by kind, since kinds differ by far, and over all of them. Moving
+ * averages of answered calls.
+ */
+
+/** Weight of one call in a mean. */
+const WEIGHT = 0.05;
+/** Kinds that are remembered; routes come and go with the configuration. */
+const MAX_KINDS = 1_000;
+
+export class HeldTimes {
+  private readonly byKind = new Map<string, number>();
+  private overallMs: number | undefined;
+
+  /** Mean over all kinds in milliseconds; undefined before the first call. */
+  get meanMs(): number | undefined {
+    return this.overallMs;
+  }
+
+  /** Mean of one kind in milliseconds; undefined before its first call. */
+  meanOf(kind: string): number | undefined {
+    return this.byKind.get(kind);
+  }
+
+  /** A call of `kind` was answered after `heldMs` in the target. */
+  onAnswered(kind: string, heldMs: number): void {
+    this.overallMs = moved(this.overallMs, heldMs);
+    if (!this.byKind.has(kind) && this.byKind.size >= MAX_KINDS) this.byKind.clear();
+    this.byKind.set(kind, moved(this.byKind.get(kind), heldMs));
+  }
+}
+
+function moved(mean: number | undefined, heldMs: number): number {
+  return mean === undefined ? heldMs : mean + WEIGHT * (heldMs - mean);
+}
