--- a/src/admission/kind-impact.ts
+++ b/src/admission/kind-impact.ts
@@ -17,7 +17,10 @@
 /** A failed answer counts as at least this multiple of the usual time, any answer as no more than that. */
 const FAILED_RATIO = 2.5;
 const MAX_RATIO = 4;
-/** Recent time over usual time from which a kind counts as held up, and as fully held up. */
+/**
+ * Recent time over usual time from which a kind counts as held up, and as fully held up. Chosen in the
+ * simulation (docs/design/platform.md); time limits may lie at 1.5 times the usual time.
+ */
 const LEAST_RATIO = 1.2;
 const FULL_RATIO = 1.5;
 /** Kinds that are remembered; routes come and go with the configuration. */
--- a/src/routing/nested-routes.ts
+++ b/src/routing/nested-routes.ts
@@ -3,7 +3,7 @@
  * not know yet, and routes change: what most of the latest answers say holds.
  */
 
-/** Weight of one answer. */
+/** Weight of one answer: what the last ten or so say counts. */
 const WEIGHT = 0.1;
 const MAJORITY = 0.5;
 /** Routes that are remembered; routes come and go with the configuration. */
--- a/src/routing/origin-tracker.ts
+++ b/src/routing/origin-tracker.ts
@@ -7,7 +7,7 @@
 
 /** Counts are halved when a route has this many calls, so that old calls fade. */
 const MAX_CALLS = 2_000;
-/** A service with less than this part of the calls that its machines would have is no origin. */
+/** A service with less than this part of the calls that its machines would have is no origin: strays. */
 const MIN_PART_OF_EXPECTED = 0.1;
 /** Routes with no more than this part of the services as origins are called by targets. */
 const MAX_ORIGIN_PART = 0.5;
