--- a/lab/simulator/sidecars/call-graph.ts
+++ b/lab/simulator/sidecars/call-graph.ts
@@ -25,6 +25,8 @@
   /** Mean work of the target itself, in milliseconds. */
   readonly workMs: number;
   readonly nested: readonly SimNestedCalls[];
+  /** Whether those calls are made all at once in place of one after the other. Default false. */
+  readonly nestedTogether?: boolean;
   /** Requests of clients a second; 0 for routes that only targets call. */
   readonly perSecond: number;
   /** Milliseconds that a client or calling target waits. */
--- a/lab/simulator/sidecars/sim-target-work.ts
+++ b/lab/simulator/sidecars/sim-target-work.ts
@@ -28,9 +28,12 @@
 export class SimTargetWork implements Cancellable {
   private timer: Timer | undefined;
   private readonly deadlineTimer: Timer;
-  private nestedCall: Cancellable | undefined;
+  private nestedCalls: Cancellable[] = [];
+  private unanswered = 0;
   private isOver = false;
   private readonly calls: readonly string[];
+  /** Calls that are made at the same time. */
+  private readonly callsPerStep: number;
   private readonly partMs: number;
   private nextCall = 0;
 
@@ -48,7 +51,9 @@
       Array.from({ length: nested.times }, () => nested.route),
     );
     const spread = 1 - SPREAD + 2 * SPREAD * random.next();
-    this.partMs = (route.workMs * workFactor * spread) / (this.calls.length + 1);
+    const steps = route.nestedTogether === true ? Math.min(1, this.calls.length) : this.calls.length;
+    this.callsPerStep = steps === 0 ? 0 : this.calls.length / steps;
+    this.partMs = (route.workMs * workFactor * spread) / (steps + 1);
     this.startedAt = clock.now();
     this.deadlineTimer = clock.schedule(deadlineMs, () => this.finish(STATUS_DEADLINE));
     this.workOn();
@@ -65,21 +70,32 @@
   }
 
   private onPartDone(): void {
-    const route = this.calls[this.nextCall];
-    if (route === undefined) {
+    if (this.nextCall >= this.calls.length) {
       this.finish(STATUS_OK);
       return;
     }
-    this.nextCall += 1;
+    const routes = this.calls.slice(this.nextCall, this.nextCall + this.callsPerStep);
+    this.nextCall += routes.length;
+    this.unanswered = routes.length;
+    for (const route of routes) this.call(route);
+  }
+
+  private call(route: string): void {
+    if (this.isOver) return;
     const leftMs = this.deadlineMs - (this.clock.now() - this.startedAt);
-    this.nestedCall = this.send(route, leftMs, (status) => this.onNestedDone(status));
+    this.nestedCalls.push(this.send(route, leftMs, (status) => this.onNestedDone(status)));
   }
 
   private onNestedDone(status: number): void {
     if (this.isOver) return;
-    this.nestedCall = undefined;
-    if (status === STATUS_OK) this.workOn();
-    else this.finish(STATUS_FAILED);
+    if (status !== STATUS_OK) {
+      this.finish(STATUS_FAILED);
+      return;
+    }
+    this.unanswered -= 1;
+    if (this.unanswered > 0) return;
+    this.nestedCalls = [];
+    this.workOn();
   }
 
   private finish(status: number): void {
@@ -92,6 +108,6 @@
     this.isOver = true;
     this.timer?.cancel();
     this.deadlineTimer.cancel();
-    this.nestedCall?.cancel();
+    for (const call of this.nestedCalls) call.cancel();
   }
 }
