Tell refused requests to come back within their objective

Cause: Retry-After was a whole number of seconds, at least 1 and mostly 3 to 5 under overload (clients heed a third of their time, 1.67 s of 5): whoever came back and was served was late. Change: a quarter of the objective, spread by half. Fractions are a setting, since RFC 9110 knows whole seconds only.

--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -15,7 +15,12 @@
   SLOT_FRACTION,
 } from '../../../src/call/gate-policy.js';
 import { InboundCall, type InboundServices } from '../../../src/call/inbound-call.js';
-import { congestionOf, ingressContext, ingressRequest } from '../../../src/call/ingress-policy.js';
+import {
+  comeBackSeconds,
+  congestionOf,
+  ingressContext,
+  ingressRequest,
+} from '../../../src/call/ingress-policy.js';
 import type { OutboundResult } from '../../../src/call/outbound-call.js';
 import { OutboundRouter } from '../../../src/call/outbound-router.js';
 import type { Outcome } from '../../../src/call/outcome.js';
@@ -31,6 +36,7 @@
 import type { VirtualClock } from '../../../src/common/virtual-clock.js';
 import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
 import type { CallFrameContext } from '../../../src/link/link-frames.js';
+import type { Route } from '../../../src/policy/route-table.js';
 import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
 import type { EndpointRecord } from '../../../src/routing/endpoint.js';
 import { NestedRoutes } from '../../../src/routing/nested-routes.js';
@@ -136,7 +142,7 @@
       transport,
       (result) => {
         this.learn(route.name, result);
-        done(answerOf(result, transport.status));
+        done(this.answerOf(route, result, transport.status));
       },
     );
   }
@@ -193,6 +199,14 @@
     if (this.nestedRoutes.has(route)) this.downstream.onCall(congestionOf(result));
   }
 
+  private answerOf(route: Route, result: OutboundResult, status: number): SimAnswer {
+    if (result.type === 'relayed') return { status, retryAfterSeconds: 0 };
+    if (result.type === 'broken') return { status: 0, retryAfterSeconds: 0 };
+    const { refusal } = result;
+    const retryAfterSeconds = comeBackSeconds(route, refusal, this.world.random);
+    return { status: refusalStatus(refusal), retryAfterSeconds };
+  }
+
   private targetTransport(kind: string, deadlineAt: number): SimTargetTransport {
     const { clock, random } = this.world;
     const route = this.world.route(kind);
@@ -212,13 +226,6 @@
   }
 }
 
-function answerOf(result: OutboundResult, status: number): SimAnswer {
-  if (result.type === 'relayed') return { status, retryAfterSeconds: 0 };
-  if (result.type === 'broken') return { status: 0, retryAfterSeconds: 0 };
-  const { refusal } = result;
-  return { status: refusalStatus(refusal), retryAfterSeconds: refusal.retryAfterSeconds };
-}
-
 /** Sends the attempts of one request to gates. */
 class SimPeerTransport implements OutboundTransport {
   readonly replayable = true;
--- a/lab/simulator/sidecars/sim-target-work.ts
+++ b/lab/simulator/sidecars/sim-target-work.ts
@@ -51,7 +51,8 @@
       Array.from({ length: nested.times }, () => nested.route),
     );
     const spread = 1 - SPREAD + 2 * SPREAD * random.next();
-    const steps = route.nestedTogether === true ? Math.min(1, this.calls.length) : this.calls.length;
+    const steps =
+      route.nestedTogether === true ? Math.min(1, this.calls.length) : this.calls.length;
     this.callsPerStep = steps === 0 ? 0 : this.calls.length / steps;
     this.partMs = (route.workMs * workFactor * spread) / (steps + 1);
     this.startedAt = clock.now();
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { CongestionLevel } from '../admission/congestion-level.js';
 import type { Clock } from '../common/clock.js';
+import type { RandomSource } from '../common/random.js';
 import { writeRefusal } from '../http/caller-response.js';
 import { PeerTransport, type PeerTransportOptions } from '../link/peer-transport.js';
 import { readRequestBody, type BodyLimits, type RequestBody } from '../http/request-body.js';
@@ -16,7 +17,7 @@
 import { StopPhase } from './stop-phase.js';
 import type { CallContext } from './call-context.js';
 import type { CallStats } from './call-stats.js';
-import { congestionOf, ingressContext, ingressRequest } from './ingress-policy.js';
+import { comeBackSeconds, congestionOf, ingressContext, ingressRequest } from './ingress-policy.js';
 import type { OutboundCall, OutboundResult } from './outbound-call.js';
 import type { OutboundRouter } from './outbound-router.js';
 import type { Refusal, RefusalReason } from './refusal.js';
@@ -25,6 +26,7 @@
 /** What the ingress is made of. */
 export interface IngressServerOptions {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly router: OutboundRouter;
   readonly split: WeightedSplit;
   readonly transport: PeerTransportOptions;
@@ -41,6 +43,8 @@
   readonly journal: RequestJournal;
   /** Learns of calls of the target that are held up or refused. */
   readonly downstream: CongestionLevel;
+  /** Whether clients read fractions of a second in `Retry-After`; RFC 9110 knows whole ones only. */
+  readonly fractionalRetryAfter: boolean;
   /** Routes whose calls are made by targets, as gates have said. */
   readonly nestedRoutes: NestedRoutes;
 }
@@ -49,6 +53,8 @@
 /** Bytes of a header line besides name and value: colon, space, line end. */
 const HEADER_LINE_BYTES = 4;
 const NOT_READY_RETRY_SECONDS = 1;
+/** Milliseconds are as fine as clients can keep to. */
+const RETRY_AFTER_DECIMALS = 3;
 
 export class IngressServer {
   constructor(private readonly options: IngressServerOptions) {}
@@ -184,7 +190,11 @@
   private refuse(refusal: Refusal): void {
     this.options.stats.kind(this.route.name).onRefused(refusal.reason);
     this.options.journal.onIngress(this.record(), refusal);
-    writeRefusal(this.response, refusal, this.context.requestId);
+    const seconds = comeBackSeconds(this.route, refusal, this.options.random);
+    const retryAfterSeconds = this.options.fractionalRetryAfter
+      ? Number(seconds.toFixed(RETRY_AFTER_DECIMALS))
+      : Math.ceil(seconds);
+    writeRefusal(this.response, { ...refusal, retryAfterSeconds }, this.context.requestId);
   }
 
   private record(): Parameters<RequestJournal['onIngress']>[0] {
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -236,6 +236,7 @@
     const { burst, share } = settings.retries;
     return new IngressServer({
       clock,
+      random,
       router: new OutboundRouter({
         clock,
         random,
@@ -255,6 +256,7 @@
       bodyLimits: () => this.bodyLimits(),
       maxInFlight: settings.limits.maxInFlight,
       retryShare: share,
+      fractionalRetryAfter: settings.fractionalRetryAfter,
       table: () => this.follower.view.table,
       stopPhase: () => this.phase,
       journal,
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -138,6 +138,8 @@
    * targets give a length to every sound answer.
    */
   unframedAnswers: z.enum(['whole', 'cut-off']).default('whole'),
+  /** Whether clients read fractions of a second in `Retry-After`; RFC 9110 knows whole ones only. */
+  fractionalRetryAfter: z.boolean().default(false),
   /** Retries of this process to one service: a share of first attempts, saved up to a burst. */
   retries: z
     .strictObject({
--- a/test/call/ingress-stop.test.ts
+++ b/test/call/ingress-stop.test.ts
@@ -50,6 +50,8 @@
     const names = DEFAULT_TARGET_HEADERS;
     const ingress = new IngressServer({
       clock,
+      random,
+      fractionalRetryAfter: true,
       router,
       split: new WeightedSplit(random),
       transport: {
