Limit kinds at gates by Little's law while calls of their target are held up

Cause: early refusal by levels needs 8 s after the onset of an overload to reach what can be finished, since each answer corrects the fraction of its own sending by 0.42 at most and answers take 1.5 s by then; until then all of browse is late (in time 0.00 from 1 s to 6 s after the onset), then the fraction overshoots and the deepest service stands idle for 2 s. Seen in a time series of the fan-in graph at 2.4 times demand. Ruled out: the delay of levels on their way up (answers that end now carry the level of now); the queue at the deepest gate (served throughput was at its capacity all the time). Change: each gate bounds what is under way of a kind to its rate of answers times a part of the objective, only while the target's own calls are held up. KindImpact no longer takes times for usual that it learns under an overload: after all processes restart in one, nothing seemed held up.

--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -5,6 +5,7 @@
 import { AdmissionController } from '../../../src/admission/admission-controller.js';
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { KindImpact } from '../../../src/admission/kind-impact.js';
+import { KindLimiter } from '../../../src/admission/kind-limiter.js';
 import { LevelThrottle } from '../../../src/admission/level-throttle.js';
 import { SHARING_ORDERS } from '../../../src/admission/sharing-policy.js';
 import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
@@ -133,6 +134,7 @@
       service: simRoute.service,
       deadlineMs: Math.max(0, context.deadlineAt - clock.now()),
       waitMs: Math.max(0, (context.waitUntil ?? context.deadlineAt) - clock.now()),
+      objectiveMs: route.objectiveMs,
       retries,
     });
     const transport = new SimPeerTransport(this.world, this.service.name, frame);
@@ -190,6 +192,7 @@
       queueLevels: Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock)),
       downstreamLevel: () => this.downstream.current(),
       kindImpact: new KindImpact(clock),
+      kindLimiter: new KindLimiter(clock),
     };
   }
 
--- a/src/admission/kind-impact.ts
+++ b/src/admission/kind-impact.ts
@@ -26,9 +26,18 @@
 /** Kinds that are remembered; routes come and go with the configuration. */
 const MAX_KINDS = 1_000;
 const FIRST_SERVER_ERROR = 500;
+/** Part of the calls below up to which they count as not held up: chance waits. */
+const CALM_LEVEL = 0.05;
+
+/** Whether calls below are held up so little that answers tell the usual time of their kinds. */
+export function isCalm(level: number): boolean {
+  return level <= CALM_LEVEL;
+}
 
 interface KindTimes {
   answers: number;
+  /** Those while nothing below was held up. */
+  calmAnswers: number;
   answeredAt: number;
   recentMs: number;
   usualMs: number;
@@ -42,25 +51,27 @@
   /**
    * The target answered a call.
    * @param heldMs time that the call was in the target, in milliseconds
+   * @param calm whether nothing below was held up; a process that starts under an overload is not to
+   *   take what it sees for usual
    */
-  onAnswer(kind: string, heldMs: number, status: number): void {
+  onAnswer(kind: string, heldMs: number, status: number, calm = true): void {
     const times = this.times(kind, heldMs);
     const failedMs = status >= FIRST_SERVER_ERROR ? FAILED_RATIO * times.usualMs : 0;
     const sampleMs = Math.max(failedMs, Math.min(heldMs, MAX_RATIO * times.usualMs));
     times.answers += 1;
     const weight = Math.max(WEIGHT, 1 / times.answers);
     times.recentMs += weight * (sampleMs - times.recentMs);
+    if (calm) times.calmAnswers += 1;
+    const knownMs = calm ? this.risenUsualMs(times) : times.usualMs;
     times.usualMs =
-      times.answers < MIN_ANSWERS
-        ? times.recentMs
-        : Math.min(times.recentMs, this.risenUsualMs(times));
+      times.calmAnswers < MIN_ANSWERS ? times.recentMs : Math.min(times.recentMs, knownMs);
     times.answeredAt = this.clock.now();
   }
 
   /** How much congestion below the target holds a kind up, 0 to 1; 1 where that is not known. */
   of(kind: string): number {
     const times = this.kinds.get(kind);
-    if (times === undefined || times.answers < MIN_ANSWERS) return 1;
+    if (times === undefined || times.calmAnswers < MIN_ANSWERS) return 1;
     const ratio = times.recentMs / Math.max(1, times.usualMs);
     return Math.min(1, Math.max(0, (ratio - LEAST_RATIO) / (FULL_RATIO - LEAST_RATIO)));
   }
@@ -74,7 +85,13 @@
     if (existing !== undefined) return existing;
     if (this.kinds.size >= MAX_KINDS) this.kinds.clear();
     const answeredAt = this.clock.now();
-    const created = { answers: 0, answeredAt, recentMs: heldMs, usualMs: heldMs };
+    const created = {
+      answers: 0,
+      calmAnswers: 0,
+      answeredAt,
+      recentMs: heldMs,
+      usualMs: heldMs,
+    };
     this.kinds.set(kind, created);
     return created;
   }
--- /dev/null
+++ b/src/admission/kind-limiter.ts
@@ -0,0 +1,119 @@
+/**
+ * Bounds how many requests of each kind are under way at one target while calls that the target makes are
+ * held up. Such requests hold few slots' worth of work, so the limit of the target itself does not bite;
+ * they pile up before a service further down, and all of them are answered late.
+ *
+ * By Little's law, requests that are answered at a rate of X a millisecond and are to take T milliseconds
+ * are X * T at a time. So the limit follows the measured rate of successful answers times the wanted time.
+ * What is under way regulates the rate that is sent on without delay: when answers take twice as long,
+ * half as many begin. Kinds whose time is not wanted to be as short, the urgent ones, keep what they need,
+ * and the others share what is left. docs/design/platform.md compares it with refusing a fraction at the
+ * ingress.
+ */
+import type { Clock } from '../common/clock.js';
+
+/** Time over which the rate of answers is measured, in milliseconds. Chosen in the simulation. */
+const RATE_MS = 500;
+/** Time constant with which the limit follows rate times wanted time, in milliseconds. Chosen there too. */
+const APPROACH_MS = 200;
+/** While nothing is held up the limit doubles in this time, in milliseconds. */
+const DOUBLES_MS = 350;
+/** An answer stands for the time since the one before, but no longer than this, in milliseconds. */
+const MAX_STEP_MS = 500;
+/** Requests of a kind that are let in however long they take: without any, nothing would be learned. */
+const MIN_LIMIT = 2;
+/** A limit this many times above what is under way, while nothing is held up, is dropped. */
+const DROPPED_ABOVE = 4;
+/** Kinds that are remembered; routes come and go with the configuration. */
+const MAX_KINDS = 1_000;
+
+/** How a target answered a request. */
+export interface KindAnswer {
+  /** Time that the request was in the target, in milliseconds. */
+  readonly heldMs: number;
+  /** Time that it should have been there at most, in milliseconds. */
+  readonly wantedMs: number;
+  readonly succeeded: boolean;
+  /** Whether calls that the target makes for this kind are held up. */
+  readonly isHeldUp: boolean;
+}
+
+interface KindState {
+  inFlight: number;
+  /** Infinity where there is no limit. */
+  limit: number;
+  /** Successful answers a millisecond. */
+  rate: number;
+  answeredAt: number;
+}
+
+export class KindLimiter {
+  private readonly kinds = new Map<string, KindState>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Counts a request as under way; false, and not counted, if its kind is at its limit. */
+  tryEnter(kind: string): boolean {
+    const state = this.state(kind);
+    if (state.inFlight >= state.limit) return false;
+    state.inFlight += 1;
+    return true;
+  }
+
+  /** A request that {@link tryEnter} counted is over. */
+  leave(kind: string): void {
+    const state = this.kinds.get(kind);
+    if (state !== undefined && state.inFlight > 0) state.inFlight -= 1;
+  }
+
+  /** The target answered a request that is still counted as under way. */
+  onAnswer(kind: string, answer: KindAnswer): void {
+    const state = this.state(kind);
+    const now = this.clock.now();
+    const elapsedMs = now - state.answeredAt;
+    state.answeredAt = now;
+    state.rate *= Math.exp(-elapsedMs / RATE_MS);
+    if (answer.succeeded) state.rate += 1 / RATE_MS;
+    const stepMs = Math.min(elapsedMs, MAX_STEP_MS);
+    if (answer.isHeldUp) tighten(state, answer, stepMs);
+    else relax(state, stepMs);
+  }
+
+  /** Most requests of a kind at a time; Infinity where there is no limit. */
+  limitOf(kind: string): number {
+    return this.kinds.get(kind)?.limit ?? Infinity;
+  }
+
+  private state(kind: string): KindState {
+    const existing = this.kinds.get(kind);
+    if (existing !== undefined) return existing;
+    if (this.kinds.size >= MAX_KINDS) this.forgetIdle();
+    const created = { inFlight: 0, limit: Infinity, rate: 0, answeredAt: this.clock.now() };
+    this.kinds.set(kind, created);
+    return created;
+  }
+
+  private forgetIdle(): void {
+    for (const [kind, { inFlight }] of this.kinds) {
+      if (inFlight === 0) this.kinds.delete(kind);
+    }
+  }
+}
+
+/** Calls below are held up: follows what can be answered in the wanted time. */
+function tighten(state: KindState, { heldMs, wantedMs, succeeded }: KindAnswer, stepMs: number) {
+  const isInTime = succeeded && heldMs <= wantedMs;
+  if (state.limit === Infinity) {
+    if (isInTime) return;
+    state.limit = Math.max(MIN_LIMIT, state.inFlight);
+  }
+  const weight = 1 - Math.exp(-stepMs / APPROACH_MS);
+  const limit = state.limit + weight * (state.rate * wantedMs - state.limit);
+  state.limit = Math.max(MIN_LIMIT, limit);
+}
+
+/** Nothing is held up: more are let in, until the limit means nothing. */
+function relax(state: KindState, stepMs: number): void {
+  state.limit *= 2 ** (stepMs / DOUBLES_MS);
+  if (state.limit > DROPPED_ABOVE * Math.max(MIN_LIMIT, state.inFlight)) state.limit = Infinity;
+}
--- a/src/call/call-context.ts
+++ b/src/call/call-context.ts
@@ -21,6 +21,8 @@
   readonly service?: string | undefined;
   /** Local monotonic time in milliseconds until which it may wait to be let in; no bound if absent. */
   readonly waitUntil?: number | undefined;
+  /** Time in milliseconds within which an answer is worth its full credit, where a route says it. */
+  readonly objectiveMs?: number | undefined;
 }
 
 /** Request header between shoredoor processes: identity, remaining time and retries. */
--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -5,13 +5,15 @@
 import type { AdmissionController, AdmissionPermit } from '../admission/admission-controller.js';
 import type { PendingAdmission, AdmissionRefusal } from '../admission/admission-controller.js';
 import type { CongestionLevel } from '../admission/congestion-level.js';
-import type { KindImpact } from '../admission/kind-impact.js';
+import { isCalm, type KindImpact } from '../admission/kind-impact.js';
+import type { KindLimiter } from '../admission/kind-limiter.js';
 import type { SampleOutcome } from '../admission/concurrency-limiter.js';
 import type { Clock, Timer } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
 import type { ClaimDecision, ClaimHandle, KeyClaims } from '../dedup/claim.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
 import type { CallContext } from './call-context.js';
+import { isAboveTolerated, wantedHeldMs } from './gate-policy.js';
 import { NestedTime } from './nested-time.js';
 import type { LoadReport, Outcome } from './outcome.js';
 import type { Refusal, RefusalReason } from './refusal.js';
@@ -42,6 +44,8 @@
   readonly downstreamLevel?: () => number;
   /** Learns which kinds of call that level holds up. */
   readonly kindImpact?: KindImpact;
+  /** Bounds the requests of clients of each kind while that level is high. */
+  readonly kindLimiter?: KindLimiter;
 }
 
 /** What a gate knows of a call besides its context. */
@@ -63,6 +67,9 @@
 
 const LEAVING_RETRY_AFTER_SECONDS = 1;
 const STATUS_SHEDDING = 503;
+const FIRST_SERVER_ERROR = 500;
+/** Stands for a target that did not answer before the deadline (RFC 9110, section 15.6.5). */
+const STATUS_NO_ANSWER = 504;
 
 const NOT_ADMITTED_DETAILS: Record<AdmissionRefusal, string> = {
   overload: 'The target is at its limit.',
@@ -84,6 +91,10 @@
   private rejectedByTarget = false;
   private waitedLong = false;
   private answerBegan = false;
+  /** Whether the kind limiter counts the call as under way. */
+  private isCounted = false;
+  /** Time that the call should be in the target at most, in milliseconds. */
+  private wantedMs = Infinity;
   private finished = false;
   private readonly startedAt: number;
   private admittedAt = 0;
@@ -111,6 +122,16 @@
       this.refuse('leaving', 'not-run', LEAVING_RETRY_AFTER_SECONDS, 'The target is leaving.');
       return;
     }
+    if (!this.enterKind()) {
+      this.refusedForOverload = true;
+      this.refuse(
+        'overload',
+        'not-run',
+        1,
+        'Calls that the target makes for this kind are held up.',
+      );
+      return;
+    }
     const { group, kind, importance, deadlineAt, waitUntil } = this.context;
     this.pending = this.services.admission.offer(
       { group, kind, importance, deadlineAt, waitUntil },
@@ -240,9 +261,29 @@
     return this.services.queueLevels?.[this.context.importance];
   }
 
+  /** Whether the kind has room for one more request. Calls of targets are never limited by kind. */
+  private enterKind(): boolean {
+    const { kindLimiter, clock } = this.services;
+    if (kindLimiter === undefined || this.options.nested === true) return true;
+    this.wantedMs = wantedHeldMs(this.context, clock.now());
+    this.isCounted = kindLimiter.tryEnter(this.context.kind);
+    return this.isCounted;
+  }
+
+  /** The target has answered: learns how its own calls hold up calls of this kind. */
   private learnImpact(status: number): void {
-    const { kindImpact, clock } = this.services;
-    kindImpact?.onAnswer(this.context.kind, clock.now() - this.admittedAt, status);
+    const { kindImpact, kindLimiter, clock, downstreamLevel } = this.services;
+    const { kind, importance } = this.context;
+    const heldMs = clock.now() - this.admittedAt;
+    const level = downstreamLevel?.() ?? 0;
+    kindImpact?.onAnswer(kind, heldMs, status, isCalm(level));
+    if (!this.isCounted) return;
+    kindLimiter?.onAnswer(kind, {
+      heldMs,
+      wantedMs: this.wantedMs,
+      succeeded: status < FIRST_SERVER_ERROR,
+      isHeldUp: isAboveTolerated(level, importance) && (kindImpact?.of(kind) ?? 1) > 0,
+    });
   }
 
   private onFaultyAnswer(fault: AnswerFault): void {
@@ -284,6 +325,7 @@
   private onDeadline(): void {
     if (this.finished) return;
     const verdict: Verdict = this.attempt?.written === true ? 'may-have-run' : 'not-run';
+    if (!this.answerBegan) this.learnImpact(STATUS_NO_ANSWER);
     this.stop('cancelled');
     if (this.answerBegan) {
       this.finish({ type: 'broken', verdict: 'ran' });
@@ -302,6 +344,8 @@
   }
 
   private release(outcome: SampleOutcome): void {
+    if (this.isCounted) this.services.kindLimiter?.leave(this.context.kind);
+    this.isCounted = false;
     const permit = this.permit;
     this.permit = undefined;
     permit?.release(outcome, this.nested.totalMs());
--- a/src/call/ingress-policy.ts
+++ b/src/call/ingress-policy.ts
@@ -53,6 +53,7 @@
     retries: route.maxTargets - 1,
     service,
     waitUntil: arrivedAt + route.objectiveMs * WAIT_FRACTION,
+    objectiveMs: route.objectiveMs,
   };
 }
 
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -178,6 +178,7 @@
     context.importance,
     context.deadlineMs,
     context.waitMs,
+    context.objectiveMs,
     context.retries,
     bodyFormOf(body),
     body ?? null,
@@ -191,7 +192,7 @@
 
 function callOf(id: number, fields: unknown[]): CallFrame {
   const lines = (fields[2] as string).split(LINE_END);
-  const [importance, deadlineMs, waitMs, retries, form] = fields.slice(3, 8) as number[];
+  const [importance, deadlineMs, waitMs, objectiveMs, retries, form] = fields.slice(3) as number[];
   const [requestId, group, kind, service, method, path] = lines as [
     string,
     string,
@@ -211,6 +212,7 @@
       importance: importance!,
       deadlineMs: deadlineMs!,
       waitMs: waitMs!,
+      objectiveMs: objectiveMs!,
       retries: retries!,
     },
     method,
@@ -218,7 +220,7 @@
     headers: lines.slice(CALL_TEXTS),
   };
   if ((form as BodyForm) === BodyForm.Stream) return frame;
-  return { ...frame, body: form === BodyForm.None ? null : bytesOf(fields[8]) };
+  return { ...frame, body: form === BodyForm.None ? null : bytesOf(fields[9]) };
 }
 
 function headOf(
--- a/src/link/link-frames.ts
+++ b/src/link/link-frames.ts
@@ -21,6 +21,8 @@
   readonly service: string;
   readonly deadlineMs: number;
   readonly waitMs: number;
+  /** Time within which an answer is worth its full credit. */
+  readonly objectiveMs: number;
   readonly retries: number;
 }
 
--- a/src/link/peer-transport.ts
+++ b/src/link/peer-transport.ts
@@ -79,6 +79,7 @@
       service: context.service ?? '',
       deadlineMs: Math.max(0, context.deadlineAt - now),
       waitMs: Math.max(0, (context.waitUntil ?? context.deadlineAt) - now),
+      objectiveMs: context.objectiveMs ?? context.deadlineAt - now,
       retries,
     };
   }
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -5,6 +5,7 @@
 import { AdmissionController } from '../admission/admission-controller.js';
 import { CongestionLevel } from '../admission/congestion-level.js';
 import { KindImpact } from '../admission/kind-impact.js';
+import { KindLimiter } from '../admission/kind-limiter.js';
 import { LevelThrottle } from '../admission/level-throttle.js';
 import { SHARING_ORDERS } from '../admission/sharing-policy.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
@@ -217,6 +218,7 @@
         queueLevels: this.queueLevels,
         downstreamLevel: () => this.downstream.current(),
         kindImpact: new KindImpact(clock),
+        kindLimiter: new KindLimiter(clock),
       },
       transport: {
         clock,
--- /dev/null
+++ b/test/admission/kind-limiter.test.ts
@@ -0,0 +1,91 @@
+import { expect } from 'chai';
+import { KindImpact } from '../../src/admission/kind-impact.js';
+import { KindLimiter } from '../../src/admission/kind-limiter.js';
+import { VirtualClock } from '../../src/common/virtual-clock.js';
+
+const KIND = 'browse';
+const WANTED_MS = 400;
+
+describe('the limit of a kind of request', () => {
+  /**
+   * A service below that answers `perSecond` requests, however many wait for it, and `demand` requests a
+   * second that ask to be let in. @returns the times of the answers of the last second
+   */
+  function overload(perSecond: number, demand: number, limiter: KindLimiter, clock: VirtualClock) {
+    const beganAt: number[] = [];
+    const heldMs: number[] = [];
+    let refused = 0;
+    const stepMs = 1;
+    let arrivals = 0;
+    let answers = 0;
+    for (let ms = 0; ms < 6_000; ms += stepMs) {
+      clock.advance(stepMs);
+      arrivals += demand / 1_000;
+      answers = Math.min(answers + perSecond / 1_000, beganAt.length + 1);
+      for (; arrivals >= 1; arrivals -= 1) {
+        if (limiter.tryEnter(KIND)) beganAt.push(clock.now());
+        else refused += 1;
+      }
+      for (; answers >= 1 && beganAt.length > 0; answers -= 1) {
+        const held = clock.now() - beganAt.shift()!;
+        const isHeldUp = held > WANTED_MS / 4;
+        limiter.onAnswer(KIND, { heldMs: held, wantedMs: WANTED_MS, succeeded: true, isHeldUp });
+        limiter.leave(KIND);
+        if (ms > 5_000) heldMs.push(held);
+      }
+    }
+    return { refused, meanMs: heldMs.reduce((sum, each) => sum + each, 0) / heldMs.length };
+  }
+
+  it('keeps the time in the target near what is wanted, whatever the rate', () => {
+    for (const perSecond of [10, 50, 300]) {
+      const clock = new VirtualClock();
+      const { meanMs } = overload(perSecond, 3 * perSecond, new KindLimiter(clock), clock);
+      expect(meanMs).to.be.within(WANTED_MS / 3, 1.3 * WANTED_MS);
+    }
+  });
+
+  it('refuses nobody where all can be answered', () => {
+    const clock = new VirtualClock();
+    expect(overload(100, 50, new KindLimiter(clock), clock).refused).to.equal(0);
+  });
+
+  it('is gone soon after the calls below are held up no more', () => {
+    const clock = new VirtualClock();
+    const limiter = new KindLimiter(clock);
+    overload(50, 150, limiter, clock);
+    expect(limiter.limitOf(KIND)).to.be.below(100);
+    for (let answer = 0; answer < 60; answer += 1) {
+      clock.advance(20);
+      const calm = { heldMs: 50, wantedMs: WANTED_MS, succeeded: true, isHeldUp: false };
+      limiter.onAnswer(KIND, calm);
+    }
+    expect(limiter.limitOf(KIND)).to.equal(Infinity);
+  });
+
+  it('lets a few in where nothing succeeds', () => {
+    const clock = new VirtualClock();
+    const limiter = new KindLimiter(clock);
+    for (let request = 0; request < 200; request += 1) {
+      clock.advance(10);
+      if (!limiter.tryEnter(KIND)) continue;
+      const failed = { heldMs: 10, wantedMs: WANTED_MS, succeeded: false, isHeldUp: true };
+      limiter.onAnswer(KIND, failed);
+      limiter.leave(KIND);
+    }
+    expect(limiter.limitOf(KIND)).to.equal(2);
+    expect(limiter.tryEnter(KIND)).to.equal(true);
+  });
+});
+
+describe('the usual time of a kind', () => {
+  it('is not learned while calls below are held up', () => {
+    const impact = new KindImpact(new VirtualClock());
+    for (let answer = 0; answer < 50; answer += 1) impact.onAnswer(KIND, 1_000, 200, false);
+    expect(impact.of(KIND)).to.equal(1);
+    for (let answer = 0; answer < 100; answer += 1) impact.onAnswer(KIND, 200, 200, true);
+    expect(impact.of(KIND)).to.equal(0);
+    for (let answer = 0; answer < 50; answer += 1) impact.onAnswer(KIND, 1_000, 200, false);
+    expect(impact.of(KIND)).to.equal(1);
+  });
+});
--- /dev/null
+++ b/test/lab/fan-in-overload.test.ts
@@ -0,0 +1,38 @@
+/**
+ * Sidecars in virtual time, where two kinds of request lead to many lookups at one small service that a third
+ * kind needs as well, at 2.4 times the usual demand. Its slots allow for 0.44 of the least urgent kind once
+ * the others have theirs.
+ */
+import { expect } from 'chai';
+import { FAN_IN_GRAPH } from '../../lab/simulator/sidecars/fan-in-graph.js';
+import { SidecarWorld, type RouteResult } from '../../lab/simulator/sidecars/sidecar-world.js';
+
+const CALM = { durationMs: 5_000, factor: 0.8 };
+const ONSET = { durationMs: 3_000, factor: 2.4 };
+const OVERLOAD = { durationMs: 8_000, factor: 2.4 };
+const SEED = 1;
+
+function inTime({ sent, inTime: answered }: RouteResult): number {
+  return answered / sent;
+}
+
+describe('sidecars before a small service that several kinds need', function () {
+  this.timeout(60_000);
+  let onset: Map<string, RouteResult>;
+  let overload: Map<string, RouteResult>;
+
+  before(() => {
+    const phases = new SidecarWorld(FAN_IN_GRAPH, SEED).run([CALM, ONSET, OVERLOAD]);
+    onset = phases[1]!;
+    overload = phases[2]!;
+  });
+
+  it('finish the urgent kind', () => {
+    for (const phase of [onset, overload]) expect(inTime(phase.get('order')!)).to.be.above(0.95);
+  });
+
+  it('answer in time what they let in of the least urgent kind, from the first seconds on', () => {
+    expect(inTime(onset.get('browse')!)).to.be.above(0.3);
+    expect(inTime(overload.get('browse')!)).to.be.above(0.35);
+  });
+});
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -27,6 +27,7 @@
     service: 's',
     deadlineMs: 500,
     waitMs: 100,
+    objectiveMs: 400,
     retries: 1,
   },
   method: 'POST',
@@ -143,6 +144,7 @@
       importance: fc.nat(3),
       deadlineMs: fc.double({ min: 0, max: 1e6, noNaN: true }),
       waitMs: fc.double({ min: 0, max: 1e6, noNaN: true }),
+      objectiveMs: fc.double({ min: 0, max: 1e6, noNaN: true }),
       retries: fc.nat(9),
     });
     const call = { id: fc.nat(), context, method: text, path: text, headers: head.headers };
