--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -7,11 +7,11 @@
 import { KindImpact } from '../../../src/admission/kind-impact.js';
 import { KindLimiter } from '../../../src/admission/kind-limiter.js';
 import { LevelThrottle } from '../../../src/admission/level-throttle.js';
-import { SHARING_ORDERS } from '../../../src/admission/sharing-policy.js';
 import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
 import {
   gateContext,
   gateOptions,
+  GATE_SHARING,
   QUEUE_WAIT_MS,
   SLOT_FRACTION,
 } from '../../../src/call/gate-policy.js';
@@ -182,9 +182,7 @@
         clock,
         random,
         limiter: this.limiter,
-        order: SHARING_ORDERS['importance-first'],
-        shareOf: () => 1,
-        totalShare: () => 1,
+        ...GATE_SHARING,
         queueWaitMs: () => QUEUE_WAIT_MS,
       }),
       claims: NO_CLAIMS,
--- a/src/call/gate-policy.ts
+++ b/src/call/gate-policy.ts
@@ -1,4 +1,5 @@
 /** What a gate decides about a call before it asks for admission. Pure. */
+import { SHARING_ORDERS } from '../admission/sharing-policy.js';
 import type { CallFrameContext } from '../link/link-frames.js';
 import { LOWEST_IMPORTANCE, parseImportance, type Importance } from '../policy/importance.js';
 import type { CallContext } from './call-context.js';
@@ -17,13 +18,36 @@
  */
 const CONGESTED_WAIT_FRACTION = 0.3;
 
+/** Who shares the slots of a target: requests of clients, and calls that targets make. */
+export enum GateGroup {
+  Clients = 'clients',
+  Targets = 'targets',
+}
+
+/**
+ * Share of the slots of each group; what one leaves goes to the other by importance. Calls of targets come
+ * first otherwise, since work is lost with them, and would leave nothing to requests that need a full service
+ * themselves. Chosen in the simulation: 0.4 for clients costs the others 0.01 of their worth.
+ */
+const GATE_SHARES: Readonly<Record<string, number>> = {
+  [GateGroup.Clients]: 0.25,
+  [GateGroup.Targets]: 0.75,
+};
+
+/** How the calls of a gate share its target. */
+export const GATE_SHARING = {
+  order: SHARING_ORDERS['share-first'],
+  shareOf: (group: string): number => GATE_SHARES[group] ?? 0,
+  totalShare: (): number => 1,
+} as const;
+
 /** The context of a call that came in a frame. @param isNested whether a target made it */
 export function gateContext(frame: CallFrameContext, isNested: boolean, now: number): CallContext {
-  const { requestId, group, kind, service, retries, deadlineMs, waitMs, objectiveMs } = frame;
+  const { requestId, kind, service, retries, deadlineMs, waitMs, objectiveMs } = frame;
   const patienceMs = isNested ? deadlineMs * NESTED_WAIT_FRACTION : 0;
   return {
     requestId,
-    group,
+    group: isNested ? GateGroup.Targets : GateGroup.Clients,
     kind,
     service,
     retries,
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -7,10 +7,9 @@
 import { KindImpact } from '../admission/kind-impact.js';
 import { KindLimiter } from '../admission/kind-limiter.js';
 import { LevelThrottle } from '../admission/level-throttle.js';
-import { SHARING_ORDERS } from '../admission/sharing-policy.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
 import { CallStats } from '../call/call-stats.js';
-import { QUEUE_WAIT_MS, SLOT_FRACTION } from '../call/gate-policy.js';
+import { GATE_SHARING, QUEUE_WAIT_MS, SLOT_FRACTION } from '../call/gate-policy.js';
 import { GateServer } from '../call/gate-server.js';
 import { IngressServer } from '../call/ingress-server.js';
 import { OutboundRouter } from '../call/outbound-router.js';
@@ -163,9 +162,7 @@
       clock,
       random,
       limiter,
-      order: SHARING_ORDERS['importance-first'],
-      shareOf: () => 1,
-      totalShare: () => 1,
+      ...GATE_SHARING,
       queueWaitMs: () => QUEUE_WAIT_MS,
     });
   }
--- a/test/lab/fan-in-overload.test.ts
+++ b/test/lab/fan-in-overload.test.ts
@@ -31,6 +31,10 @@
     for (const phase of [onset, overload]) expect(inTime(phase.get('order')!)).to.be.above(0.95);
   });
 
+  it('leave the kind that needs the small service itself its share', () => {
+    for (const phase of [onset, overload]) expect(inTime(phase.get('reprint')!)).to.be.above(0.9);
+  });
+
   it('answer in time what they let in of the least urgent kind, from the first seconds on', () => {
     expect(inTime(onset.get('browse')!)).to.be.above(0.3);
     expect(inTime(overload.get('browse')!)).to.be.above(0.35);
