Stay in the zone unless an endpoint elsewhere is clearly better

Cause: once the endpoint of the zone is full, a call went to the best of three anywhere, also where all zones were as full. Change: a call crosses only if the endpoint in the zone costs twice as much. The simulator has zones now.

--- a/lab/simulator/sidecars/sidecar-world.ts
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -42,6 +42,8 @@
   private results = new Map<string, RouteResult>();
   private factor = 1;
   private isOpen = true;
+  /** Attempts sent so far, and those of them that went to another zone. */
+  readonly attempts = { sent: 0, crossing: 0 };
 
   constructor(graph: CallGraph, seed: number) {
     this.random = new SeededRandom(seed);
@@ -64,6 +66,11 @@
     return this.sidecars.get(id)!;
   }
 
+  onAttempt(crossesZones: boolean): void {
+    this.attempts.sent += 1;
+    if (crossesZones) this.attempts.crossing += 1;
+  }
+
   /** Runs the phases one after the other. @returns for each what clients got that began in it */
   run(phases: readonly DemandPhase[]): Map<string, RouteResult>[] {
     for (const each of this.routes.values()) {
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -47,6 +47,8 @@
 
 /** One way between two machines, in milliseconds. */
 const LINK_DELAY_MS = 1;
+/** Targets of a service are spread over this many zones in turn. */
+const ZONES = 3;
 /** As in the settings of a sidecar: retries as a share of first attempts, and those saved up. */
 const RETRY_SHARE = 0.05;
 const RETRY_BURST = 2;
@@ -57,6 +59,8 @@
   readonly random: RandomSource;
   route(name: string): SimRoute;
   sidecar(id: string): SimSidecar;
+  /** An attempt was sent. @param crossesZones whether it went to another zone */
+  onAttempt(crossesZones: boolean): void;
 }
 
 /** A request's final answer at its ingress. */
@@ -91,7 +95,7 @@
       id,
       incarnation: 1,
       service: service.name,
-      zone: 'zone',
+      zone: zoneOf(index),
       origin: id,
       state: 'ready',
     };
@@ -101,7 +105,7 @@
       clock,
       random,
       callerId: id,
-      callerZone: 'zone',
+      callerZone: this.record.zone,
       slowStartMs: () => 0,
     });
     this.origins = new OriginTracker(() => this.directory.machines);
@@ -134,7 +138,7 @@
       objectiveMs: route.objectiveMs,
       retries,
     });
-    const transport = new SimPeerTransport(this.world, this.service.name, frame);
+    const transport = new SimPeerTransport(this.world, this.record, frame);
     return this.router.call(
       simRoute.service,
       ingressRequest(route, context, RETRY_SHARE),
@@ -224,6 +228,10 @@
   }
 }
 
+function zoneOf(index: number): string {
+  return `zone-${index % ZONES}`;
+}
+
 /** Sends the attempts of one request to gates. */
 class SimPeerTransport implements OutboundTransport {
   readonly replayable = true;
@@ -232,13 +240,14 @@
 
   constructor(
     private readonly world: SidecarNeighbours,
-    private readonly caller: string,
+    private readonly caller: EndpointRecord,
     private readonly frame: (retries: number) => CallFrameContext,
   ) {}
 
   send(endpoint: EndpointRecord, envelope: AttemptEnvelope, listener: AttemptListener): Attempt {
     const { clock } = this.world;
     const frame = this.frame(envelope.retries);
+    this.world.onAttempt(endpoint.zone !== this.caller.zone);
     let isOver = false;
     let inbound: Cancellable | undefined;
     const onAnswer = (status: number, outcome: Outcome): void => {
@@ -252,7 +261,7 @@
     clock.schedule(LINK_DELAY_MS, () => {
       if (isOver) return;
       const sidecar = this.world.sidecar(endpoint.id);
-      inbound = sidecar.gate(frame, this.caller, (status, outcome) => {
+      inbound = sidecar.gate(frame, this.caller.service, (status, outcome) => {
         clock.schedule(LINK_DELAY_MS, () => onAnswer(status, outcome));
       });
     });
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the endpoint for each attempt among a caller's subset of one service: the better of two
- * random endpoints of the caller's own zone while that has room and is not slow, else the best of three
- * of all zones.
+ * random endpoints of the caller's own zone while that has room and is not slow, or is not much worse than
+ * the best of three of all zones, else that one.
  */
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
@@ -17,6 +17,11 @@
 const ROOM_OCCUPANCY = 0.75;
 /** Above this multiple of the service's usual latency, calls don't stay in the zone for its sake. */
 const MAX_LOCAL_SLOWNESS = 1.6;
+/**
+ * A call leaves the zone for an endpoint only if one of the zone costs this many times as much: where all
+ * zones are full alike, crossing brings nothing. Chosen in the simulation (docs/design/platform.md).
+ */
+const CROSSING_FACTOR = 2;
 /** Random endpoints that are compared in the own zone, and over all zones. */
 const LOCAL_CHOICES = 2;
 const SPILL_CHOICES = 3;
@@ -140,7 +145,10 @@
     const local = candidates.filter((view) => view.record.zone === this.options.callerZone);
     const nearby = this.bestOf(LOCAL_CHOICES, local, now);
     if (nearby !== undefined && this.isGoodEnough(nearby, now)) return nearby;
-    return this.bestOf(SPILL_CHOICES, candidates, now);
+    const best = this.bestOf(SPILL_CHOICES, candidates, now);
+    if (nearby === undefined || best === undefined) return best;
+    const isWorthCrossing = this.costOf(nearby, now) > CROSSING_FACTOR * this.costOf(best, now);
+    return isWorthCrossing ? best : nearby;
   }
 
   /** Whether a call may stay at an endpoint of its zone without looking further. */
@@ -149,6 +157,10 @@
     return isRoomy && view.slowness(now) < MAX_LOCAL_SLOWNESS;
   }
 
+  private costOf(view: EndpointView, now: number): number {
+    return view.cost(now, this.options.slowStartMs(), this.usualLimit);
+  }
+
   /** The cheapest of `count` different random endpoints. */
   private bestOf(
     count: number,
@@ -163,7 +175,7 @@
       const view = left[index]!;
       left[index] = left[left.length - 1]!;
       left.pop();
-      const cost = view.cost(now, this.options.slowStartMs(), this.usualLimit);
+      const cost = this.costOf(view, now);
       if (cost < bestCost) {
         best = view;
         bestCost = cost;
--- a/test/routing/balancer.test.ts
+++ b/test/routing/balancer.test.ts
@@ -81,6 +81,24 @@
     expect(part(counts, 'n1') + part(counts, 'n2')).to.be.below(0.25);
   });
 
+  it('stays in a full zone while the others are as full, and leaves it when they have room', () => {
+    const { made, clock } = balancer();
+    const crossing = (farInFlight: number): number => {
+      const counts = new Map<string, number>();
+      for (let call = 0; call < 200; call += 1) {
+        const pick = made.pick(NOTHING_TRIED, 'read')!;
+        const { id, zone } = pick.endpoint;
+        counts.set(id, (counts.get(id) ?? 0) + 1);
+        clock.advance(USUAL_MS);
+        const inFlight = zone === 'near' ? 12 : farInFlight;
+        pick.end('answered', { refusal: undefined, load: { inFlight, limit: 10 } });
+      }
+      return part(counts, 'f3') + part(counts, 'f4');
+    };
+    expect(crossing(12)).to.be.below(0.1);
+    expect(crossing(2)).to.be.above(0.5);
+  });
+
   it('comes back to an endpoint that has recovered', () => {
     const { send, clock } = balancer();
     send(100, () => USUAL_MS);
