--- a/src/call/gate-policy.ts
+++ b/src/call/gate-policy.ts
@@ -68,7 +68,7 @@
  * by importance, least first. The rest is for the way and for coming back after a refusal; more for the less
  * urgent lets them wait where the urgent ones wait too. Chosen in the simulation (docs/design/platform.md).
  */
-const WANTED_PART: readonly number[] = [0.4, 0.4, 0.5, 0.5];
+const WANTED_PART: readonly number[] = [0.35, 0.35, 0.5, 0.8];
 /**
  * Part of the target's calls that may be held up before requests are limited, by importance, least first: the
  * less urgent ones make room first. Chosen in the simulation.
