--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -141,7 +141,7 @@
     const transport = new SimPeerTransport(this.world, this.record, frame);
     return this.router.call(
       simRoute.service,
-      ingressRequest(route, context, RETRY_SHARE),
+      ingressRequest(route, context, RETRY_SHARE, this.nestedRoutes.has(route.name)),
       transport,
       (result) => {
         this.learn(route.name, result);
--- a/src/call/ingress-policy.ts
+++ b/src/call/ingress-policy.ts
@@ -55,11 +55,13 @@
 /**
  * How a request is sent.
  * @param retryShare retries as a share of first attempts
+ * @param isNested whether targets make the calls of the route, as gates have said
  */
 export function ingressRequest(
   route: Route,
   context: CallContext,
   retryShare: number,
+  isNested: boolean,
 ): OutboundRequest {
   return {
     lane: `${route.name}/${context.service}`,
@@ -68,8 +70,8 @@
     retryRatio: retryShare,
     allowance: new RetryAllowance(context.retries),
     overloadReroutes: OVERLOAD_REROUTES,
-    // Gates bound the requests of clients by kind, and a call of a target is never refused early.
-    throttled: false,
+    // A call of the target is not refused early: what its caller has done would be lost.
+    throttled: !isNested,
     overdueFactor: OVERDUE_FACTOR,
   };
 }
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -143,11 +143,11 @@
   }
 
   private send(body: RequestBody): void {
-    const { router, transport, retryShare } = this.options;
+    const { router, transport, retryShare, nestedRoutes } = this.options;
     const { context, route, service } = this;
     this.call = router.call(
       service,
-      ingressRequest(route, context, retryShare),
+      ingressRequest(route, context, retryShare, nestedRoutes.has(route.name)),
       new PeerTransport(transport, context, this.message, body, this.response),
       (result) => this.onResult(result),
     );
