--- a/test/lab/fan-in-overload.test.ts
+++ b/test/lab/fan-in-overload.test.ts
@@ -10,27 +10,34 @@
 const CALM = { durationMs: 5_000, factor: 0.8 };
 const ONSET = { durationMs: 3_000, factor: 2.4 };
 const OVERLOAD = { durationMs: 8_000, factor: 2.4 };
+const EXTREME = { durationMs: 8_000, factor: 3 };
 const SEED = 1;
 
+type Results = Map<string, RouteResult>;
+
 function inTime({ sent, inTime: answered }: RouteResult): number {
   return answered / sent;
 }
 
 describe('sidecars before a small service that several kinds need', function () {
   this.timeout(60_000);
-  let onset: Map<string, RouteResult>;
-  let overload: Map<string, RouteResult>;
+  let onset: Results;
+  let overload: Results;
+  let extreme: Results;
 
   before(() => {
-    const phases = new SidecarWorld(FAN_IN_GRAPH, SEED).run([CALM, ONSET, OVERLOAD]);
-    onset = phases[1]!;
-    overload = phases[2]!;
+    const phases = new SidecarWorld(FAN_IN_GRAPH, SEED).run([CALM, ONSET, OVERLOAD, EXTREME]);
+    [, onset, overload, extreme] = phases as [Results, Results, Results, Results];
   });
 
   it('finish the urgent kind', () => {
     for (const phase of [onset, overload]) expect(inTime(phase.get('order')!)).to.be.above(0.95);
   });
 
+  it('finish the urgent kind also where it needs nearly all that there is', () => {
+    expect(inTime(extreme.get('order')!)).to.be.above(0.97);
+  });
+
   it('leave the kind that needs the small service itself its share', () => {
     for (const phase of [onset, overload]) expect(inTime(phase.get('reprint')!)).to.be.above(0.9);
   });
