--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -18,6 +18,7 @@
 import {
   comeBackSeconds,
   congestionOf,
+  frameContext,
   ingressContext,
   ingressRequest,
 } from '../../../src/call/ingress-policy.js';
@@ -42,6 +43,7 @@
 import { NestedRoutes } from '../../../src/routing/nested-routes.js';
 import { OriginTracker } from '../../../src/routing/origin-tracker.js';
 import { ServiceDirectory } from '../../../src/routing/service-directory.js';
+import { DEFAULT_RETRY_BURST, DEFAULT_RETRY_SHARE } from '../../../src/settings/schemas.js';
 import type { SimRoute, SimService } from './call-graph.js';
 import { SimTargetWork, type Cancellable } from './sim-target-work.js';
 
@@ -49,9 +51,6 @@
 const LINK_DELAY_MS = 1;
 /** Targets of a service are spread over this many zones in turn. */
 const ZONES = 3;
-/** As in the settings of a sidecar: retries as a share of first attempts, and those saved up. */
-const RETRY_SHARE = 0.05;
-const RETRY_BURST = 2;
 
 /** What the machines of a run share. */
 export interface SidecarNeighbours {
@@ -114,7 +113,7 @@
       clock,
       random,
       directory: this.directory,
-      retryBurst: RETRY_BURST,
+      retryBurst: DEFAULT_RETRY_BURST,
     });
   }
 
@@ -130,18 +129,12 @@
     const arrivedAt = clock.now();
     const arrival = { requestId: '', service: simRoute.service, wantedMs, arrivedAt };
     const context = ingressContext(route, arrival);
-    const frame = (retries: number): CallFrameContext => ({
-      ...context,
-      service: simRoute.service,
-      deadlineMs: Math.max(0, context.deadlineAt - clock.now()),
-      waitMs: Math.max(0, (context.waitUntil ?? context.deadlineAt) - clock.now()),
-      objectiveMs: route.objectiveMs,
-      retries,
-    });
+    const frame = (retries: number): CallFrameContext =>
+      frameContext(context, retries, clock.now());
     const transport = new SimPeerTransport(this.world, this.record, frame);
     return this.router.call(
       simRoute.service,
-      ingressRequest(route, context, RETRY_SHARE, this.nestedRoutes.has(route.name)),
+      ingressRequest(route, context, DEFAULT_RETRY_SHARE, this.nestedRoutes.has(route.name)),
       transport,
       (result) => {
         this.learn(route.name, result);
--- a/src/call/ingress-policy.ts
+++ b/src/call/ingress-policy.ts
@@ -1,4 +1,5 @@
 /** What an ingress decides about a request once it knows its route. Pure. */
+import type { CallFrameContext } from '../link/link-frames.js';
 import type { Route } from '../policy/route-table.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
 import { contextName, type CallContext } from './call-context.js';
@@ -52,6 +53,22 @@
   };
 }
 
+/** What an attempt of a call tells the gate: times become what remains of them. */
+export function frameContext(context: CallContext, retries: number, now: number): CallFrameContext {
+  const remainingMs = Math.max(0, context.deadlineAt - now);
+  return {
+    requestId: context.requestId,
+    group: context.group,
+    kind: context.kind,
+    importance: context.importance,
+    service: context.service ?? '',
+    deadlineMs: remainingMs,
+    waitMs: Math.max(0, (context.waitUntil ?? context.deadlineAt) - now),
+    objectiveMs: context.objectiveMs ?? remainingMs,
+    retries,
+  };
+}
+
 /**
  * How a request is sent.
  * @param retryShare retries as a share of first attempts
--- a/src/link/peer-transport.ts
+++ b/src/link/peer-transport.ts
@@ -1,6 +1,7 @@
 /** Sends the attempts of one routed call to the sidecars beside its targets. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { CallContext } from '../call/call-context.js';
+import { frameContext } from '../call/ingress-policy.js';
 import type { Outcome } from '../call/outcome.js';
 import type {
   Attempt,
@@ -14,7 +15,6 @@
 import type { TargetHeaders } from '../http/target-headers.js';
 import type { EndpointRecord } from '../routing/endpoint.js';
 import type { LinkCallListener, LinkPool, LinkStream } from './link-client.js';
-import type { CallFrameContext } from './link-frames.js';
 
 /** What the transports of one sidecar share. */
 export interface PeerTransportOptions {
@@ -52,12 +52,13 @@
   }
 
   send(endpoint: EndpointRecord, envelope: AttemptEnvelope, listener: AttemptListener): Attempt {
-    const { message, body, headers } = this;
+    const { message, body, headers, context } = this;
+    const { clock, links } = this.options;
     const attempt = new PeerAttempt(this.response, listener);
-    attempt.stream = this.options.links.call(
+    attempt.stream = links.call(
       endpoint.origin,
       {
-        context: this.frameContext(envelope.retries),
+        context: frameContext(context, envelope.retries, clock.now()),
         method: message.method ?? 'GET',
         path: message.url ?? '/',
         headers,
@@ -67,22 +68,6 @@
     );
     return attempt;
   }
-
-  private frameContext(retries: number): CallFrameContext {
-    const { context } = this;
-    const now = this.options.clock.now();
-    return {
-      requestId: context.requestId,
-      group: context.group,
-      kind: context.kind,
-      importance: context.importance,
-      service: context.service ?? '',
-      deadlineMs: Math.max(0, context.deadlineAt - now),
-      waitMs: Math.max(0, (context.waitUntil ?? context.deadlineAt) - now),
-      objectiveMs: context.objectiveMs ?? context.deadlineAt - now,
-      retries,
-    };
-  }
 }
 
 /** One attempt under way: passes the answer on to the caller with backpressure. */
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -12,8 +12,10 @@
 const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
 const DEFAULT_HEARTBEAT_INTERVAL_MS = 2_000;
 const DEFAULT_MEMBER_LEASE_MS = 10_000;
-const DEFAULT_RETRY_SHARE = 0.05;
-const DEFAULT_RETRY_BURST = 2;
+/** Retries of a sidecar as a share of first attempts: four services deep they add up to 0.2. */
+export const DEFAULT_RETRY_SHARE = 0.05;
+/** Retries that a sidecar may have saved up. */
+export const DEFAULT_RETRY_BURST = 2;
 const DEFAULT_TARGET_SILENT_MS = 6_000;
 
 const originSchema = z
