--- a/src/admission/kind-limiter.ts
+++ b/src/admission/kind-limiter.ts
@@ -5,10 +5,9 @@
  *
  * By Little's law, requests that are answered at a rate of X a millisecond and are to take T milliseconds
  * are X * T at a time. So the limit follows the measured rate of successful answers times the wanted time.
- * What is under way regulates the rate that is sent on without delay: when answers take twice as long,
- * half as many begin. Kinds whose time is not wanted to be as short, the urgent ones, keep what they need,
- * and the others share what is left. docs/design/platform.md compares it with refusing a fraction at the
- * ingress.
+ * A bound on what is under way acts at once: when answers take twice as long, half as many requests begin.
+ * Urgent kinds are given a longer wanted time, so they keep what they need, and the less urgent ones share
+ * what is left. docs/design/platform.md compares it with refusing a fraction at the ingress.
  */
 import type { Clock } from '../common/clock.js';
 
@@ -38,7 +37,7 @@
 
 /** How a target answered a request. */
 export interface KindAnswer {
-  /** Time that it should have been there at most, in milliseconds. */
+  /** Time that the request should have been in the target at most, in milliseconds. */
   readonly wantedMs: number;
   readonly succeeded: boolean;
   /** Whether calls that the target makes for this kind are held up. */
--- a/src/call/gate-policy.ts
+++ b/src/call/gate-policy.ts
@@ -64,9 +64,9 @@
 }
 
 /**
- * Part of the time that a request has which it may spend in the target while calls of the target are held up,
- * by importance, least first. The rest is for the way and for coming back after a refusal; more for the less
- * urgent lets them wait where the urgent ones wait too. Chosen in the simulation (docs/design/platform.md).
+ * Part of its time that a request should spend in the target at most while calls of the target are held up, by
+ * importance, least first. The less urgent kinds fill the queue below up to their part; with 0.4 for them and 0.5
+ * for the most urgent the urgent ones were limited too (docs/rounds/order-mesh.md).
  */
 const WANTED_PART: readonly number[] = [0.35, 0.35, 0.5, 0.8];
 /**
