Write logs to standard output

The fleet's launcher took the first line of it for the announcement; it now looks for the line with origins and no message, and writes every line to the log file, so that a full pipe never blocks a child (test/lab/child-process.test.ts).

--- a/lab/fleet/child-process.ts
+++ b/lab/fleet/child-process.ts
@@ -4,9 +4,9 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
-import { openSync } from 'node:fs';
+import { openSync, writeSync } from 'node:fs';
 
-/** What a child prints first: its id and the origins that it bound. */
+/** The line of a child's standard output that tells its id and the origins that it bound. */
 export interface Announcement {
   readonly id: string;
   readonly origins: Readonly<Record<string, string>>;
@@ -14,6 +14,20 @@
 
 const START_TIMEOUT_MS = 20_000;
 
+/** The announcement in a line; undefined for log lines, which have a message. */
+function announcementOf(line: string): Announcement | undefined {
+  try {
+    const fields = JSON.parse(line) as Partial<Announcement> & { readonly msg?: string };
+    const { id, origins, msg } = fields;
+    return id === undefined || origins === undefined || msg !== undefined
+      ? undefined
+      : { id, origins };
+  } catch {
+    // A line that is no JSON is text of a child that fails; it stands in the log file.
+    return undefined;
+  }
+}
+
 /** One process of a fleet. */
 export class FleetChild {
   private constructor(
@@ -24,7 +38,7 @@
 
   /**
    * Starts `node script ...args` and waits for its announcement.
-   * @param logFile receives standard error
+   * @param logFile receives standard output and standard error
    * @throws when the child ends, or says nothing, before its announcement
    */
   static async start(
@@ -41,9 +55,12 @@
         START_TIMEOUT_MS,
       );
       child.once('exit', (code) => reject(new Error(`${name} ended with ${code}; see ${logFile}`)));
-      createInterface({ input: child.stdout! }).once('line', (line) => {
+      createInterface({ input: child.stdout! }).on('line', (line) => {
+        writeSync(log, `${line}\n`);
+        const announced = announcementOf(line);
+        if (announced === undefined) return;
         clearTimeout(timer);
-        resolve(JSON.parse(line) as Announcement);
+        resolve(announced);
       });
     });
     child.removeAllListeners('exit');
--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -29,7 +29,7 @@
   const logger = createLogger(name, settings.id, settings.logLevel);
   await prepareHashing();
   const program = await start(settings, logger);
-  // One line on standard output tells supervisors which ports were bound.
+  // One line among the log lines on standard output tells supervisors which ports were bound.
   process.stdout.write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
   let stopping = false;
   const stop = (): void => {
--- a/src/observe/logger.ts
+++ b/src/observe/logger.ts
@@ -1,4 +1,4 @@
-/** Structured logs (JSON lines on standard error). Each part of a program has a fixed prefix. */
+/** Structured logs (JSON lines on standard output). Each part of a program has a fixed prefix. */
 import bunyan from 'bunyan';
 
 /** Fields of a log record besides the message. */
@@ -51,7 +51,7 @@
     name: 'shoredoor',
     processId,
     level,
-    streams: [{ stream: process.stderr, level }],
+    streams: [{ stream: process.stdout, level }],
   });
   return new PartLogger(target, prefix);
 }
