--- a/src/call/gate-server.ts
+++ b/src/call/gate-server.ts
@@ -58,13 +58,14 @@
     const { context, incoming } = this;
     stats.onStart();
     if (context.service !== service()) {
-      this.refuse('unavailable', {
+      const outcome: Outcome = {
         verdict: 'not-run',
         refusal: 'unavailable',
         overloaded: false,
         unspentRetries: context.retries,
         load: undefined,
-      });
+      };
+      this.refuse('unavailable', outcome, 'The target is of another service.');
       return;
     }
     const call: InboundCall = new InboundCall(
@@ -90,8 +91,8 @@
   private onResult(call: InboundCall, result: InboundResult): void {
     const stats = this.options.stats.kind(this.context.kind);
     if (result.type === 'refused') {
-      const { reason, verdict } = result.refusal;
-      this.refuse(reason, call.takeOutcome(verdict, reason));
+      const { reason, verdict, detail } = result.refusal;
+      this.refuse(reason, call.takeOutcome(verdict, reason), detail);
       return;
     }
     if (result.type === 'broken') {
@@ -105,9 +106,9 @@
     this.finish();
   }
 
-  private refuse(reason: RefusalReason, outcome: Outcome): void {
+  private refuse(reason: RefusalReason, outcome: Outcome, cause: string): void {
     this.options.stats.kind(this.context.kind).onRefused(reason);
-    this.options.journal.onGate(this.context, reason, outcome.verdict, this.startedAt);
+    this.options.journal.onGate(this.context, reason, outcome.verdict, this.startedAt, cause);
     this.incoming.refuse(outcome);
     this.finish();
   }
--- a/src/call/request-journal.ts
+++ b/src/call/request-journal.ts
@@ -50,8 +50,17 @@
     this.logger.info('It was learned who makes the calls of a route.', fields);
   }
 
-  /** A call for the target of this machine ended without a whole answer. */
-  onGate(context: CallContext, outcome: string, verdict: Verdict, startedAt: number): void {
+  /**
+   * A call for the target of this machine ended without a whole answer.
+   * @param cause one sentence, where the gate refused it
+   */
+  onGate(
+    context: CallContext,
+    outcome: string,
+    verdict: Verdict,
+    startedAt: number,
+    cause?: string,
+  ): void {
     if (!this.hasRoom()) return;
     const { requestId, kind, importance } = context;
     const heldMs = Math.round(this.clock.now() - startedAt);
@@ -62,6 +71,7 @@
       outcome,
       verdict,
       heldMs,
+      cause,
     });
   }
 
