Reproduce LOST: calls of a target cut at the end of its sidecar's planned stop (fails)

Runs that outlast the grace time make calls of 120 ms one after the other; 8 that had arrived were cut at 0.85 of the grace, each sent less than 100 ms before.

--- /dev/null
+++ b/test/support/calling-targets.ts
@@ -0,0 +1,220 @@
+/**
+ * Two services on loopback, each a sidecar with its target: runs of the front one make calls to the back one through
+ * their own sidecar, one after the other, and how each call ended is written down at both ends.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Agent, request } from 'undici';
+import { createLogger } from '../../src/observe/logger.js';
+import type { Program } from '../../src/programs/program.js';
+import { startSidecar } from '../../src/programs/sidecar-program.js';
+import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
+import { LONE_LINK_TOKEN, startLoneControl } from './lone-control.js';
+import { Cleanup, until } from './processes.js';
+
+const ANY_ADDRESS = '127.0.0.1:0';
+const HOST = 'shop.example';
+const REPORT_INTERVAL_MS = 300;
+const STATUS_OK = 200;
+/** Calls after which sidecars know that only targets make calls of this route. */
+const CALLS_TO_LEARN = 80;
+
+/** One call that the front target made. */
+export interface MadeCall {
+  readonly id: string;
+  /** Milliseconds of `performance.now()`. */
+  readonly sentAt: number;
+  endedAt: number;
+  /** 0 where the connection ended without a whole answer. */
+  status: number;
+}
+
+/** What the back target does with a call: its answer is sent when this resolves. */
+export type BackWork = () => Promise<void>;
+
+export class CallingTargets {
+  readonly calls: MadeCall[] = [];
+  readonly arrived = new Set<string>();
+  /** Calls of one run. */
+  callsPerRun = 1;
+  backWork: BackWork = () => Promise.resolve();
+  /** Whether the front target goes on with its run when its caller is gone, as some do. */
+  outlivesCaller = false;
+  private readonly agent = new Agent({ connections: 64 });
+  private readonly cleanup = new Cleanup();
+  private readonly sidecars = new Map<string, Program>();
+  private nextId = 0;
+  private sequence = 0;
+
+  /** @param graceMs time from the signal until the sidecars' processes would be killed */
+  static async start(graceMs: number): Promise<CallingTargets> {
+    const targets = new CallingTargets();
+    const { cleanup } = targets;
+    cleanup.add(() => targets.agent.destroy());
+    const control = await startLoneControl(cleanup);
+    const front = await targets.startTarget((message, response) => targets.run(message, response));
+    const back = await targets.startTarget((message, response) => targets.work(message, response));
+    await targets.startSidecar('front', control, graceMs);
+    await targets.startSidecar('back', control, graceMs);
+    await until(() => targets.declare(control));
+    const report = (): Promise<void> => targets.report({ front, back });
+    await report();
+    const reports = setInterval(() => void report(), REPORT_INTERVAL_MS);
+    cleanup.add(() => clearInterval(reports));
+    await until(async () => (await targets.ask('/front/')) === STATUS_OK);
+    await targets.teach();
+    return targets;
+  }
+
+  get front(): Program {
+    return this.sidecars.get('front')!;
+  }
+
+  get back(): Program {
+    return this.sidecars.get('back')!;
+  }
+
+  async end(): Promise<void> {
+    await this.cleanup.run();
+  }
+
+  /** Sends a request of a client of `from`. @returns its status; 0 where no whole answer came */
+  async ask(path: string, from: 'front' | 'back' = 'front', deadlineMs = 5_000): Promise<number> {
+    return (await this.exchange(from, path, `client-${(this.nextId += 1)}`, deadlineMs)).status;
+  }
+
+  /** Calls that had arrived at the back target, and whose caller got no whole answer. */
+  cutCalls(): MadeCall[] {
+    return this.calls.filter(({ id, status }) => status === 0 && this.arrived.has(id));
+  }
+
+  private async startTarget(
+    listener: (message: IncomingMessage, response: ServerResponse) => Promise<void>,
+  ): Promise<Server> {
+    const server = createServer((message, response) => void listener(message, response));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    this.cleanup.add(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    return server;
+  }
+
+  private async startSidecar(service: string, control: Program, graceMs: number): Promise<void> {
+    const settings = sidecarSettingsSchema.parse({
+      id: `sidecar-${service}`,
+      zone: 'zone-a',
+      service,
+      inbound: ANY_ADDRESS,
+      outbound: ANY_ADDRESS,
+      registration: ANY_ADDRESS,
+      admin: ANY_ADDRESS,
+      control: [control.origins.listen],
+      heartbeatIntervalMs: 200,
+      linkToken: LONE_LINK_TOKEN,
+      stop: { graceMs },
+    });
+    const logger = createLogger('sidecar', settings.id, 'error');
+    const program = await startSidecar(settings, logger);
+    this.sidecars.set(service, program);
+    this.cleanup.add(() => program.stop());
+  }
+
+  private async declare(control: Program): Promise<boolean> {
+    const limits = { timeoutMs: 5_000, objectiveMs: 2_000, rank: 0, maxTargets: 2 };
+    const route = (name: string, service: string) => ({
+      kind: 'Route',
+      name,
+      spec: { host: HOST, pathPrefix: `/${name}/`, semantics: 'repeatable', service, ...limits },
+    });
+    const service = (name: string) => ({ kind: 'Service', name, spec: { connections: 64 } });
+    const resources = [
+      route('front', 'front'),
+      route('nested', 'back'),
+      service('front'),
+      service('back'),
+    ];
+    const response = await request(`${control.origins.listen}/v1/declarations`, {
+      method: 'PUT',
+      headers: { 'if-match': '0' },
+      body: JSON.stringify({ version: 1, resources }),
+    });
+    await response.body.dump();
+    return response.statusCode === STATUS_OK;
+  }
+
+  private async report(servers: Readonly<Record<string, Server>>): Promise<void> {
+    this.sequence += 1;
+    for (const [service, server] of Object.entries(servers)) {
+      const { port } = server.address() as AddressInfo;
+      const { registration } = this.sidecars.get(service)!.origins;
+      const state = { service, address: `127.0.0.1:${port}`, slots: 64, state: 'ready' };
+      await request(`${registration}/v1/instances/${service}-1`, {
+        method: 'PUT',
+        body: JSON.stringify({ ...state, sequence: this.sequence }),
+      }).then(
+        ({ body }) => body.dump(),
+        // The sidecar has ended; so does the test soon.
+        () => undefined,
+      );
+    }
+  }
+
+  /** Makes calls until sidecars know who makes them. */
+  private async teach(): Promise<void> {
+    this.callsPerRun = CALLS_TO_LEARN;
+    await this.ask('/front/');
+    this.calls.length = 0;
+    this.arrived.clear();
+  }
+
+  private async run(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    message.resume();
+    for (let call = 0; call < this.callsPerRun; call += 1) {
+      if (response.destroyed && !this.outlivesCaller) return;
+      const { status } = await this.call();
+      if (status !== STATUS_OK) {
+        this.answer(message, response, 500);
+        return;
+      }
+    }
+    this.answer(message, response, STATUS_OK);
+  }
+
+  private async call(): Promise<MadeCall> {
+    const id = `call-${(this.nextId += 1)}`;
+    const made: MadeCall = { id, sentAt: performance.now(), endedAt: Infinity, status: 0 };
+    this.calls.push(made);
+    const { status } = await this.exchange('front', '/nested/', id, 5_000);
+    made.status = status;
+    made.endedAt = performance.now();
+    return made;
+  }
+
+  private async work(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    message.resume();
+    this.arrived.add(String(message.headers['x-request-id']));
+    await this.backWork();
+    this.answer(message, response, STATUS_OK);
+  }
+
+  private answer(message: IncomingMessage, response: ServerResponse, status: number): void {
+    response.setHeader('x-request-id', String(message.headers['x-request-id']));
+    response.writeHead(status, { 'content-length': 5 }).end('whole');
+  }
+
+  private async exchange(from: string, path: string, id: string, deadlineMs: number) {
+    try {
+      const response = await request(`${this.sidecars.get(from)!.origins.outbound}${path}1`, {
+        dispatcher: this.agent,
+        headers: { host: HOST, 'x-request-id': id, 'x-request-timeout-ms': String(deadlineMs) },
+        signal: AbortSignal.timeout(deadlineMs),
+      });
+      await response.body.text();
+      return { status: response.statusCode };
+    } catch {
+      // Refused, reset or too late: there is no whole answer.
+      return { status: 0 };
+    }
+  }
+}
