Keep the second attempt of a call when the overdue one is refused

Cause: the answer of the overdue attempt cancelled the later one even where it was its gate's refusal (a process that has to end), and the request was lost. A refusal of one of two attempts is now told to throttle and balancer, too. Test failed before: refused, the second attempt cancelled.

--- a/src/call/outbound-call.ts
+++ b/src/call/outbound-call.ts
@@ -9,7 +9,7 @@
 import type { RetryAllowance, RetryLoan } from '../retry/retry-allowance.js';
 import type { RetryCredit } from '../retry/retry-budget.js';
 import { decideRetry, type FailedAttempt } from '../retry/retry-policy.js';
-import type { EndpointResult } from '../routing/endpoint.js';
+import type { EndpointRecord, EndpointResult } from '../routing/endpoint.js';
 import type { Balancer, EndpointPick } from '../routing/balancer.js';
 import type { Outcome } from './outcome.js';
 import type { Refusal } from './refusal.js';
@@ -189,16 +189,24 @@
   }
 
   private onHeadOf(sent: SentAttempt, head: AnswerHead): HeadDecision {
+    if (this.overdue !== undefined && head.outcome?.refusal !== undefined) {
+      this.onOneRefused(sent, head.outcome);
+      return 'discard';
+    }
     if (sent === this.overdue) this.returnToOverdue('cancelled');
-    else if (sent === this.latest && this.overdue !== undefined) {
-      if (head.outcome?.refusal !== undefined) {
-        sent.loan.settle(head.outcome.unspentRetries);
-        this.returnToOverdue('answered', head.outcome);
-        return 'discard';
-      }
+    else if (this.overdue !== undefined) this.abandonOverdue();
+    return this.onHead(head);
+  }
+
+  /** One of two attempts under way was refused by its gate: the other one goes on, whichever it is. */
+  private onOneRefused(sent: SentAttempt, outcome: Outcome): void {
+    this.learnRefusal(sent.pick?.endpoint, outcome);
+    if (sent === this.overdue) {
       this.abandonOverdue();
+      return;
     }
-    return this.onHead(head);
+    sent.loan.settle(outcome.unspentRetries);
+    this.returnToOverdue('answered', outcome);
   }
 
   private onFailureOf(sent: SentAttempt, failure: AttemptFailure): void {
@@ -292,13 +300,17 @@
   private onNodeRefusal(outcome: Outcome): void {
     const endpoint = this.latest?.pick?.endpoint;
     this.endPick(outcome.refusal === 'unreachable' ? 'failed' : 'answered', outcome);
+    this.learnRefusal(endpoint, outcome);
+    this.continueAfter(outcome, () => this.passOnRefusal(outcome));
+  }
+
+  private learnRefusal(endpoint: EndpointRecord | undefined, outcome: Outcome): void {
     if (outcome.refusal === 'leaving' && endpoint !== undefined) {
       this.services.balancer.markLeaving(endpoint);
     }
     this.verdict = combineVerdicts(this.verdict, outcome.verdict);
     this.overloaded ||= outcome.overloaded;
     this.informThrottle(outcome.overloaded, outcome);
-    this.continueAfter(outcome, () => this.passOnRefusal(outcome));
   }
 
   private passOnRefusal(outcome: Outcome): void {
--- a/test/call/overdue-refused.test.ts
+++ b/test/call/overdue-refused.test.ts
@@ -36,7 +36,10 @@
 
 describe('a call whose answer is overdue', () => {
   /** @returns how the slow call ended, and which attempts were cancelled */
-  function slowCall(second: Second): { type: string | undefined; cancelled: string[] } {
+  function slowCall(
+    second: Second,
+    first = ANSWERED,
+  ): { type: string | undefined; cancelled: string[] } {
     const cancelled: string[] = [];
     const clock = new VirtualClock();
     const random = new SeededRandom(3);
@@ -63,12 +66,12 @@
       throttle: new OverloadThrottle(random),
       budget: CALLEES_DECIDE,
     };
-    const run = (latencyMs: number): OutboundResult | undefined => {
+    const run = (latencyMs: number, ofFirst = ANSWERED): OutboundResult | undefined => {
       let result: OutboundResult | undefined;
       const transport = {
         replayable: true,
         send: (_endpoint: unknown, { isRepeat }: { isRepeat: boolean }, to: AttemptListener) => {
-          const outcome = isRepeat ? second.outcome : ANSWERED;
+          const outcome = isRepeat ? second.outcome : ofFirst;
           const timer = clock.schedule(isRepeat ? second.latencyMs : latencyMs, () => {
             if (to.onHead({ status: 200, outcome }) === 'relay') {
               to.onEnd();
@@ -94,7 +97,7 @@
       return result;
     };
     for (let call = 0; call < 30; call += 1) run(USUAL_MS);
-    const result = run(SLOW_MS);
+    const result = run(SLOW_MS, first);
     return { type: result?.type, cancelled };
   }
 
@@ -102,6 +105,16 @@
     expect(slowCall({ latencyMs: 1, outcome: REFUSED }).type).to.equal('relayed');
   });
 
+  /**
+   * The other way round: the overdue attempt is refused by its gate, whose process has to end, while the second one is at
+   * work. The second one was cancelled then.
+   */
+  it('is answered by the second attempt if the overdue one is refused', () => {
+    const leaving: Outcome = { ...ANSWERED, verdict: 'may-have-run', refusal: 'leaving' };
+    const ended = slowCall({ latencyMs: SLOW_MS, outcome: ANSWERED }, leaving);
+    expect(ended).to.deep.equal({ type: 'relayed', cancelled: ['first'] });
+  });
+
   it('is answered by whichever answers first, and the other attempt is given up', () => {
     const late = slowCall({ latencyMs: SLOW_MS, outcome: ANSWERED });
     expect(late).to.deep.equal({ type: 'relayed', cancelled: ['second'] });
