Soak: judge every request, also those of targets and those sent after a signal; a profile of planned stops

Targets write down how their own calls end, keep their deadlines and make many calls a run; stops come in series, with long runs in half of the seeds. A stopped process that has to be killed is a violation.

--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -2,6 +2,9 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { CAC } from 'cac';
+import { UsageError } from '../../src/common/errors.js';
+import { drawPlan, type SoakPlan } from '../soak/soak-plan.js';
+import { drawStopPlan } from '../soak/stop-plan.js';
 import { wholeNumber } from './options.js';
 
 interface SoakOptions {
@@ -9,11 +12,27 @@
   readonly seeds: unknown;
   readonly seconds: unknown;
   readonly dir?: string;
+  readonly profile: string;
+}
+
+/** How plans are drawn, by the names of the option. */
+const PROFILES: Readonly<Record<string, (seed: number, durationMs: number) => SoakPlan>> = {
+  mixed: drawPlan,
+  stops: drawStopPlan,
+};
+
+function profileOf(name: string): (seed: number, durationMs: number) => SoakPlan {
+  const profile = Object.hasOwn(PROFILES, name) ? PROFILES[name] : undefined;
+  if (profile === undefined) {
+    throw new UsageError(`--profile must be one of ${Object.keys(PROFILES).join(', ')}`);
+  }
+  return profile;
 }
 
 /** Shorter runs would have no time for faults before the calm at their end. */
 const MIN_SECONDS = 10;
 const MILLISECONDS = 1_000;
+const SERVED_DECIMALS = 3;
 
 export function registerSoakCommand(cli: CAC): void {
   cli
@@ -24,6 +43,9 @@
     .option('--seed <number>', 'First seed', { default: 1 })
     .option('--seeds <number>', 'Number of runs, one after the other', { default: 1 })
     .option('--seconds <number>', `Seconds of traffic, at least ${MIN_SECONDS}`, { default: 25 })
+    .option('--profile <name>', `What goes wrong: ${Object.keys(PROFILES).join(' or ')}`, {
+      default: 'mixed',
+    })
     .option(
       '--dir <folder>',
       'Where logs and plans of failed runs are kept; default: a temporary one',
@@ -33,19 +55,25 @@
 }
 
 async function soak(options: SoakOptions): Promise<void> {
-  const { drawPlan } = await import('../soak/soak-plan.js');
   const { runSoak } = await import('../soak/run-soak.js');
   const first = wholeNumber('--seed', options.seed, 0);
   const count = wholeNumber('--seeds', options.seeds, 1);
   const durationMs = wholeNumber('--seconds', options.seconds, MIN_SECONDS) * MILLISECONDS;
+  const draw = profileOf(options.profile);
   const folder = options.dir ?? join(tmpdir(), 'shoredoor-soak');
   let failed = 0;
   for (let seed = first; seed < first + count; seed += 1) {
-    const plan = drawPlan(seed, durationMs);
-    const { violations, chances, workDir } = await runSoak(plan, join(folder, `seed-${seed}`));
+    const plan = draw(seed, durationMs);
+    const { violations, chances, servedPart, workDir } = await runSoak(
+      plan,
+      join(folder, `seed-${seed}`),
+    );
     const counts = [...chances].map(([check, chance]) => `${check} ${chance}`).join(', ');
     const faults = plan.faults.map(({ kind }) => kind).join(' ');
-    print(`seed ${seed}: ${violations.length} violations; chances: ${counts}; ${faults}`);
+    const served = servedPart.toFixed(SERVED_DECIMALS);
+    print(
+      `seed ${seed}: ${violations.length} violations; ${served} served; chances: ${counts}; ${faults}`,
+    );
     for (const { check, detail } of violations) print(`  ${check}: ${detail}`);
     if (violations.length === 0) continue;
     failed += 1;
--- /dev/null
+++ b/lab/soak/exchange-end.ts
@@ -0,0 +1,22 @@
+/** How an exchange ended for the side that sent the request. */
+import type { Dispatcher } from 'undici';
+
+/** What the sender got. */
+export interface ExchangeEnd {
+  /** Status of the answer; 0 where the connection ended without a whole answer. */
+  readonly status: number;
+  readonly body: string;
+  /** Whether the sender did not wait any longer. */
+  readonly gaveUp: boolean;
+}
+
+/** Reads an answer to its end. @throws where it breaks off, or the sender gives up */
+export async function wholeAnswer(response: Dispatcher.ResponseData): Promise<ExchangeEnd> {
+  return { status: response.statusCode, body: await response.body.text(), gaveUp: false };
+}
+
+/** Refused, reset or too late: the sender has no whole answer. */
+export function noAnswer(error: unknown): ExchangeEnd {
+  const gaveUp = error instanceof DOMException && error.name === 'TimeoutError';
+  return { status: 0, body: '', gaveUp };
+}
--- a/lab/soak/run-soak.ts
+++ b/lab/soak/run-soak.ts
@@ -16,6 +16,8 @@
   readonly violations: readonly Violation[];
   /** How often each check could have failed. */
   readonly chances: ReadonlyMap<Check, number>;
+  /** Part of all requests of clients that were answered with success, 0 to 1. */
+  readonly servedPart: number;
   /** Where logs and the plan of the run are. */
   readonly workDir: string;
 }
@@ -44,7 +46,7 @@
     const violations = await run.play();
     const chances = new Map(Object.values(Check).map((each) => [each, run.record.chancesOf(each)]));
     if (violations.length === 0) rmSync(workDir, { recursive: true });
-    return { violations, chances, workDir };
+    return { violations, chances, servedPart: run.record.servedPart, workDir };
   } finally {
     await run.end();
     await fleet.end();
@@ -83,7 +85,7 @@
     await this.until(from + plan.durationMs);
     this.isOver = true;
     await Promise.all(under);
-    await this.until(this.now() + SETTLE_MS);
+    await this.until(this.now() + Math.max(SETTLE_MS, plan.clientDeadlineMs));
     return record.violations({
       retries: RETRY_BOUND,
       leastServed: LEAST_SERVED,
@@ -115,14 +117,14 @@
       inherited: new Set(),
       arrived: new Set(),
       host: SOAK_HOST,
+      nestedDeadlineMs: this.plan.nestedDeadlineMs,
     };
     const { services } = this.plan;
     for (const { index, service, outbound } of this.fleet.machines) {
       const next = services[services.indexOf(service) + 1];
-      const path = next === undefined ? undefined : nestedPath(next);
-      this.targets.push(
-        await SoakTarget.start(world, service, `instance-${index}`, path, outbound),
-      );
+      const nextPath = next === undefined ? undefined : nestedPath(next);
+      const place = { machine: index, service, nextPath, outboundOrigin: outbound };
+      this.targets.push(await SoakTarget.start(world, place));
     }
     this.reports = setInterval(() => this.reportTargets(), REPORT_INTERVAL_MS);
     this.reportTargets();
@@ -154,6 +156,7 @@
       record: this.record,
       now: () => this.now(),
       isOver: () => this.isOver,
+      deadlineMs: this.plan.clientDeadlineMs,
     };
     for (const machine of this.fleet.machines) {
       const clients = new SoakClients(world, machine, this.plan.perSecond);
--- a/lab/soak/soak-clients.ts
+++ b/lab/soak/soak-clients.ts
@@ -2,13 +2,12 @@
 import { Agent, request } from 'undici';
 import { exponential, type RandomSource } from '../../src/common/random.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
+import { noAnswer, wholeAnswer, type ExchangeEnd } from './exchange-end.js';
 import type { SoakMachine } from './soak-fleet.js';
 import { PLACE_PATH, READ_PATH, SOAK_HOST } from './soak-operator.js';
 import type { SoakRecord } from './soak-record.js';
 
 const MILLISECONDS = 1_000;
-/** Time that a client waits for an answer, in milliseconds. */
-export const CLIENT_DEADLINE_MS = 2_500;
 const ONCE_PART = 0.3;
 
 /** What the clients of a run share. */
@@ -17,6 +16,8 @@
   readonly record: SoakRecord;
   readonly now: () => number;
   readonly isOver: () => boolean;
+  /** Time that clients wait for an answer, in milliseconds. */
+  readonly deadlineMs: number;
 }
 
 /** The clients of one machine. */
@@ -51,17 +52,18 @@
     const id = `c${machine}-${(this.sent += 1)}`;
     const sentAt = now();
     if (isOnce) record.onOnceSent(id);
-    const { status, body } = await this.exchange(`${outbound}${isOnce ? PLACE_PATH : READ_PATH}1`, {
+    const answer = await this.exchange(`${outbound}${isOnce ? PLACE_PATH : READ_PATH}1`, {
       id,
       isOnce,
     });
-    record.onEnding({ id, machine, sentAt, endedAt: now(), status, body });
+    record.onEnding({ id, machine, isNested: false, sentAt, endedAt: now(), ...answer });
   }
 
   private async exchange(
     url: string,
     { id, isOnce }: { id: string; isOnce: boolean },
-  ): Promise<{ status: number; body: string }> {
+  ): Promise<ExchangeEnd> {
+    const { deadlineMs } = this.world;
     try {
       const response = await request(url, {
         dispatcher: this.agent,
@@ -69,15 +71,14 @@
         headers: {
           host: SOAK_HOST,
           [DEFAULT_TARGET_HEADERS.requestId]: id,
-          [DEFAULT_TARGET_HEADERS.deadlineMs]: String(CLIENT_DEADLINE_MS),
+          [DEFAULT_TARGET_HEADERS.deadlineMs]: String(deadlineMs),
         },
         body: isOnce ? 'an order' : null,
-        signal: AbortSignal.timeout(CLIENT_DEADLINE_MS),
+        signal: AbortSignal.timeout(deadlineMs),
       });
-      return { status: response.statusCode, body: await response.body.text() };
-    } catch {
-      // Refused, reset or too late: the client has no whole answer.
-      return { status: 0, body: '' };
+      return await wholeAnswer(response);
+    } catch (error) {
+      return noAnswer(error);
     }
   }
 }
--- a/lab/soak/soak-faults.ts
+++ b/lab/soak/soak-faults.ts
@@ -1,5 +1,5 @@
 /** Injects the faults of a plan from outside: signals, the proxies of links, and what targets do wrong. */
-import type { SoakFleet, SoakMachine, SoakReplica } from './soak-fleet.js';
+import type { SoakFleet, SoakMachine, SoakProcess, SoakReplica } from './soak-fleet.js';
 import { GRACE_MS } from './soak-fleet.js';
 import { FaultKind, isOnControl, type PlannedFault } from './soak-plan.js';
 import type { SoakRecord } from './soak-record.js';
@@ -60,7 +60,7 @@
   }
 
   private async act(
-    { kind, forMs, part }: PlannedFault,
+    { kind, forMs, part, restartAfterMs = 0 }: PlannedFault,
     machine: SoakMachine,
     replica: SoakReplica,
     target: SoakTarget,
@@ -84,10 +84,10 @@
         return;
       }
       case FaultKind.StopSidecar:
-        await this.stopSidecar(machine);
+        await this.stopSidecar(machine, restartAfterMs);
         return;
       case FaultKind.StopControl:
-        await replica.process.stop();
+        await this.stop(replica.process);
         await replica.process.start();
         return;
       case FaultKind.ReloadSidecar:
@@ -116,12 +116,18 @@
     }
   }
 
-  private async stopSidecar(machine: SoakMachine): Promise<void> {
+  private async stopSidecar(machine: SoakMachine, restartAfterMs: number): Promise<void> {
     const fromMs = this.world.now();
     this.world.record.onStop({ machine: machine.index, fromMs, untilMs: fromMs + GRACE_MS });
-    await machine.process.stop();
+    await this.stop(machine.process);
+    await pause(restartAfterMs);
     await machine.process.start();
   }
+
+  private async stop(process: SoakProcess): Promise<void> {
+    const exitCode = await process.stop();
+    this.world.record.onStopped(process.id, exitCode !== null);
+  }
 }
 
 function pause(durationMs: number): Promise<void> {
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -22,7 +22,7 @@
 export const RETRY_BOUND = { ratio: 0.2, slack: 40, windowMs: 10_000 };
 
 /** One process that is restarted with the same settings. */
-class SoakProcess {
+export class SoakProcess {
   private child: FleetChild | undefined;
 
   constructor(
--- a/lab/soak/soak-operator.ts
+++ b/lab/soak/soak-operator.ts
@@ -97,6 +97,8 @@
 
 function resourcesOf(plan: SoakPlan, version: number): object[] {
   const [first, ...deeper] = plan.services;
+  const route = (name: string, path: string, service: SoakService, semantics: string): object =>
+    routeOf(plan, name, path, service, semantics);
   return [
     route('read', READ_PATH, first!, 'repeatable'),
     route('place', PLACE_PATH, first!, 'once'),
@@ -108,8 +110,14 @@
   ];
 }
 
-function route(name: string, pathPrefix: string, service: SoakService, semantics: string): object {
-  const limits = { timeoutMs: 2_000, objectiveMs: 1_000, rank: 1, maxTargets: 2 };
+function routeOf(
+  { timeoutMs }: SoakPlan,
+  name: string,
+  pathPrefix: string,
+  service: SoakService,
+  semantics: string,
+): object {
+  const limits = { timeoutMs, objectiveMs: timeoutMs / 2, rank: 1, maxTargets: 2 };
   return {
     kind: 'Route',
     name,
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -27,6 +27,8 @@
   readonly victim: number;
   /** Part of the calls or answers, 0 to 1, where the kind has one. */
   readonly part: number;
+  /** Milliseconds between the end of a stopped process and its next start. Default 0. */
+  readonly restartAfterMs?: number;
 }
 
 /** A service of the chain; each calls the next. */
@@ -35,6 +37,8 @@
   readonly machines: number;
   readonly slots: number;
   readonly workMs: number;
+  /** Calls that each run makes to the next service, one after the other. */
+  readonly callsPerRun: number;
 }
 
 /** A run. */
@@ -44,6 +48,11 @@
   readonly replicas: number;
   /** Requests of clients a second, at each machine. */
   readonly perSecond: number;
+  /** How long clients wait, and the time limit of the routes, in milliseconds. */
+  readonly clientDeadlineMs: number;
+  readonly timeoutMs: number;
+  /** Longest time that a target gives its own calls, in milliseconds. */
+  readonly nestedDeadlineMs: number;
   /** Length of the traffic, of which the last part has no faults. */
   readonly durationMs: number;
   readonly calmMs: number;
@@ -69,7 +78,11 @@
 const LEAST_PART = 0.1;
 const EXTRA_PART = 0.4;
 
-/** Draws a run. @param durationMs length of the traffic in milliseconds, longer than the calm at its end */
+const CLIENT_DEADLINE_MS = 2_500;
+const TIMEOUT_MS = 2_000;
+const NESTED_DEADLINE_MS = 1_500;
+
+/** Draws a run of all kinds of faults. @param durationMs length of the traffic in milliseconds, longer than the calm at its end */
 export function drawPlan(seed: number, durationMs: number): SoakPlan {
   const random = new SeededRandom(seed);
   const services = Array.from({ length: MIN_SERVICES + random.below(EXTRA_SERVICES) }, (_, index) =>
@@ -81,6 +94,9 @@
     services,
     replicas: REPLICAS,
     perSecond: 6 + random.below(7),
+    clientDeadlineMs: CLIENT_DEADLINE_MS,
+    timeoutMs: TIMEOUT_MS,
+    nestedDeadlineMs: NESTED_DEADLINE_MS,
     durationMs,
     calmMs: CALM_MS,
     faults: drawFaults(random, durationMs - CALM_MS, machines),
@@ -94,6 +110,7 @@
     machines: MIN_MACHINES + random.below(EXTRA_MACHINES),
     slots: 16 + random.below(32),
     workMs: 5 + random.below(25),
+    callsPerRun: 1,
   };
 }
 
@@ -116,7 +133,12 @@
   return [FaultKind.KillControl, FaultKind.PauseControl, FaultKind.StopControl].includes(kind);
 }
 
-function drawTimes(random: RandomSource, fromMs: number, untilMs: number, gapMs: number): number[] {
+export function drawTimes(
+  random: RandomSource,
+  fromMs: number,
+  untilMs: number,
+  gapMs: number,
+): number[] {
   const times: number[] = [];
   let atMs = fromMs;
   while (atMs < untilMs) {
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -2,6 +2,7 @@
  * What clients, targets and the operator of a soak have seen on their sockets, and what of it breaks a promise.
  * Pure: times are passed in.
  */
+import type { ExchangeEnd } from './exchange-end.js';
 import { ArrivalLedger, type ArrivalBound } from '../simulator/sidecars/arrival-ledger.js';
 
 /** The promises that a run checks. */
@@ -12,6 +13,7 @@
   RetryBudget = 'retry budget',
   InForceInTime = 'in force in time',
   CleanStop = 'clean stop',
+  StopInTime = 'stop in time',
   Goodput = 'goodput',
   Recovery = 'recovery',
 }
@@ -22,15 +24,15 @@
   readonly detail: string;
 }
 
-/** How one request of a client ended. */
-export interface ClientEnding {
+/** How one request ended, of a client or of a target. */
+export interface Ending extends ExchangeEnd {
   readonly id: string;
+  /** Machine whose sidecar it was sent to. */
   readonly machine: number;
+  /** Whether a target made it. */
+  readonly isNested: boolean;
   readonly sentAt: number;
   readonly endedAt: number;
-  /** Status of the answer; 0 where the connection ended without a whole answer. */
-  readonly status: number;
-  readonly body: string;
 }
 
 /** Time in which something is wrong with a machine. */
@@ -52,6 +54,10 @@
 }
 
 const STATUS_OK = 200;
+const STATUS_FAILED = 500;
+/** A request that was sent in the first half of a stop may last into its last sixth: no stop can wait longer. */
+const EARLY_PART = 0.5;
+const LAST_PART = 5 / 6;
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 /** A request that nothing else has disturbed this long before its end was cut by the stop, in milliseconds. */
@@ -61,7 +67,7 @@
   readonly arrivals = new ArrivalLedger();
   private readonly runs = new Map<string, number>();
   private readonly onceIds = new Set<string>();
-  private readonly endings: ClientEnding[] = [];
+  private readonly endings: Ending[] = [];
   private readonly stops: Disturbance[] = [];
   private readonly disturbances: Disturbance[] = [];
   private readonly found: Violation[] = [];
@@ -77,7 +83,7 @@
     this.onceIds.add(id);
   }
 
-  onEnding(ending: ClientEnding): void {
+  onEnding(ending: Ending): void {
     this.endings.push(ending);
   }
 
@@ -91,6 +97,14 @@
     this.stops.push(stop);
   }
 
+  /** A process that was stopped as planned has ended. @param isByItself false where it had to be killed */
+  onStopped(process: string, isByItself: boolean): void {
+    this.count(Check.StopInTime);
+    if (isByItself) return;
+    const detail = `${process} was still there at the end of its grace time`;
+    this.found.push({ check: Check.StopInTime, detail });
+  }
+
   /** A machine in touch was asked whether an accepted change is in force. */
   onConfigurationRead(isInForce: boolean, detail: string): void {
     this.count(Check.InForceInTime);
@@ -102,12 +116,18 @@
     this.checkRuns();
     for (const ending of this.endings) this.checkEnding(ending);
     this.checkRetries(bounds);
-    this.checkServed(Check.Goodput, bounds.leastServed, this.endings);
-    const atEnd = this.endings.filter(({ sentAt }) => sentAt >= bounds.recoveredAt);
+    const ofClients = this.endings.filter(({ isNested }) => !isNested);
+    this.checkServed(Check.Goodput, bounds.leastServed, ofClients);
+    const atEnd = ofClients.filter(({ sentAt }) => sentAt >= bounds.recoveredAt);
     this.checkServed(Check.Recovery, bounds.leastServedAtEnd, atEnd);
     return this.found;
   }
 
+  /** Part of all requests of clients that were answered with success, 0 to 1. */
+  get servedPart(): number {
+    return servedPart(this.endings.filter(({ isNested }) => !isNested));
+  }
+
   /** How often each check could have failed; one with none counts as not run. */
   chancesOf(check: Check): number {
     return this.chances.get(check) ?? 0;
@@ -121,7 +141,7 @@
     }
   }
 
-  private checkEnding(ending: ClientEnding): void {
+  private checkEnding(ending: Ending): void {
     const { id, status, body } = ending;
     if (status === STATUS_OK) {
       this.count(Check.OwnWholeAnswer);
@@ -140,19 +160,28 @@
     this.checkStop(ending);
   }
 
-  private checkStop({ id, machine, sentAt, endedAt, status }: ClientEnding): void {
+  /**
+   * A request that was read before the stop, or that has run, ends with its target's answer, with a promise that it has
+   * not run, or by its own deadline.
+   */
+  private checkStop(ending: Ending): void {
+    const { id, machine, sentAt, endedAt, status, gaveUp } = ending;
     const stop = this.stops.find(
       (each) => each.machine === machine && each.fromMs <= endedAt && endedAt <= each.untilMs,
     );
-    if (stop === undefined || sentAt > stop.fromMs) return;
+    if (stop === undefined || gaveUp) return;
+    const hasRun = (this.runs.get(id) ?? 0) > 0;
+    if (sentAt > stop.fromMs && !hasRun) return;
+    if (isBeyondGrace(ending, stop)) return;
     const isDisturbed = this.disturbances.some(
       (each) => each.fromMs <= endedAt && each.untilMs >= sentAt - UNDISTURBED_MS,
     );
     if (isDisturbed) return;
     this.count(Check.CleanStop);
-    if (status === 0) {
-      this.found.push({ check: Check.CleanStop, detail: `${id} was cut by a planned stop` });
-    }
+    if (status !== 0 && !(hasRun && isOwnAnswerInPlace(ending))) return;
+    const afterMs = Math.round(sentAt - stop.fromMs);
+    const detail = `${id}, sent ${afterMs} ms after the signal, was cut with ${status} by a planned stop`;
+    this.found.push({ check: Check.CleanStop, detail });
   }
 
   private checkRetries({ retries }: SoakBounds): void {
@@ -162,10 +191,10 @@
     this.found.push({ check: Check.RetryBudget, detail: JSON.stringify(worst) });
   }
 
-  private checkServed(check: Check, least: number, endings: readonly ClientEnding[]): void {
+  private checkServed(check: Check, least: number, endings: readonly Ending[]): void {
     if (endings.length === 0) return;
     this.count(check, endings.length);
-    const served = endings.filter(({ status }) => status === STATUS_OK).length / endings.length;
+    const served = servedPart(endings);
     if (served >= least) return;
     this.found.push({ check, detail: `${served.toFixed(3)} served, at least ${least} wanted` });
   }
@@ -175,6 +204,22 @@
   }
 }
 
+/** Whether a request that came in good time was still worked on when its process had to end. */
+function isBeyondGrace({ sentAt, endedAt }: Ending, { fromMs, untilMs }: Disturbance): boolean {
+  const graceMs = untilMs - fromMs;
+  const isEarly = sentAt <= fromMs + EARLY_PART * graceMs;
+  return isEarly && endedAt >= fromMs + LAST_PART * graceMs;
+}
+
+/** Whether a failure is not the target's own. */
+function isOwnAnswerInPlace({ id, status, body }: Ending): boolean {
+  return status >= STATUS_FAILED && body !== answerBody(id);
+}
+
+function servedPart(endings: readonly Ending[]): number {
+  return endings.filter(({ status }) => status === STATUS_OK).length / endings.length;
+}
+
 /** The whole body of the answer to a request. */
 export function answerBody(id: string): string {
   return `answer to ${id}.`;
--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -7,6 +7,7 @@
 import { request } from 'undici';
 import type { RandomSource } from '../../src/common/random.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
+import { noAnswer, wholeAnswer, type ExchangeEnd } from './exchange-end.js';
 import { answerBody, type SoakRecord } from './soak-record.js';
 import type { SoakService } from './soak-plan.js';
 
@@ -30,6 +31,25 @@
   /** Requests that have arrived at any target. */
   readonly arrived: Set<string>;
   readonly host: string;
+  /** Longest time that calls of a target are given, in milliseconds. */
+  readonly nestedDeadlineMs: number;
+}
+
+/** One request that a target works on. */
+interface TargetRun {
+  readonly id: string;
+  readonly isRepeat: boolean;
+  readonly response: ServerResponse;
+  readonly deadlineAt: number;
+}
+
+/** What a target needs to know of its place. */
+export interface TargetPlace {
+  readonly machine: number;
+  readonly service: SoakService;
+  /** Path of the route that leads to the next service; undefined for the last. */
+  readonly nextPath: string | undefined;
+  readonly outboundOrigin: string;
 }
 
 const NAMES = DEFAULT_TARGET_HEADERS;
@@ -37,8 +57,7 @@
 const STATUS_FAILED = 500;
 const STATUS_FULL = 503;
 const STATUS_MISDIRECTED = 421;
-/** Time that calls of a target are given, in milliseconds. */
-const NESTED_DEADLINE_MS = 1_500;
+const STATUS_TOO_LATE = 504;
 
 export class SoakTarget {
   readonly misbehaviour: TargetMisbehaviour = { rejectedPart: 0, lostPart: 0, slowness: 1 };
@@ -48,23 +67,13 @@
 
   private constructor(
     private readonly world: TargetWorld,
-    private readonly service: SoakService,
-    readonly instance: string,
-    /** Path of the route that leads to the next service; undefined for the last. */
-    private readonly nextPath: string | undefined,
-    private readonly outboundOrigin: string,
+    private readonly place: TargetPlace,
     private readonly server: Server,
   ) {}
 
-  static async start(
-    world: TargetWorld,
-    service: SoakService,
-    instance: string,
-    nextPath: string | undefined,
-    outboundOrigin: string,
-  ): Promise<SoakTarget> {
+  static async start(world: TargetWorld, place: TargetPlace): Promise<SoakTarget> {
     const server = createServer();
-    const target = new SoakTarget(world, service, instance, nextPath, outboundOrigin, server);
+    const target = new SoakTarget(world, place, server);
     server.on('request', (message, response) => void target.handle(message, response));
     server.on('connection', (socket) => {
       target.sockets.add(socket);
@@ -74,6 +83,10 @@
     return target;
   }
 
+  get instance(): string {
+    return `instance-${this.place.machine}`;
+  }
+
   /** `HOST:PORT` that it serves. */
   get address(): string {
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
@@ -94,17 +107,17 @@
     }
     const isRepeat = this.countArrival(id);
     const isRejected = this.world.random.next() < this.misbehaviour.rejectedPart;
-    if (isRejected || this.running >= this.service.slots) {
+    if (isRejected || this.running >= this.place.service.slots) {
       reject(response, STATUS_FULL);
       return;
     }
     this.world.record.onRun(id);
     this.running += 1;
-    const succeeded = await this.run(id, isRepeat, response);
+    const deadlineAt = this.world.now() + Number(headerOf(message, NAMES.deadlineMs));
+    const status = await this.run({ id, isRepeat, response, deadlineAt });
     this.running -= 1;
     if (this.world.random.next() < this.misbehaviour.lostPart) response.socket?.destroy();
-    else if (succeeded) response.writeHead(STATUS_OK).end(answerBody(id));
-    else response.writeHead(STATUS_FAILED).end();
+    else response.writeHead(status).end(answerBody(id));
   }
 
   /** @returns whether the arrival is a repeat */
@@ -112,41 +125,59 @@
     const { record, inherited, arrived, now } = this.world;
     const isRepeat = inherited.has(id) || arrived.has(id);
     arrived.add(id);
-    if (isRepeat) record.arrivals.onRepeat(this.service.name, now());
-    else record.arrivals.onRequest(this.service.name, now());
+    const { name } = this.place.service;
+    if (isRepeat) record.arrivals.onRepeat(name, now());
+    else record.arrivals.onRequest(name, now());
     return isRepeat;
   }
 
-  private async run(id: string, isRepeat: boolean, response: ServerResponse): Promise<boolean> {
-    await this.work();
-    if (this.nextPath === undefined || response.destroyed) return true;
-    const nestedId = `${id}/${this.instance}-${(this.nextNested += 1)}`;
-    if (isRepeat) this.world.inherited.add(nestedId);
-    const succeeded = await this.callNext(nestedId);
-    await this.work();
-    return succeeded;
+  /** Works in as many parts as there are calls, and one more. @returns the status of the answer */
+  private async run(run: TargetRun): Promise<number> {
+    const { callsPerRun, workMs } = this.place.service;
+    const calls = this.place.nextPath === undefined ? 0 : callsPerRun;
+    const partMs = (workMs * this.misbehaviour.slowness) / (calls + 1);
+    if (!(await this.work(partMs, run))) return STATUS_TOO_LATE;
+    for (let call = 0; call < calls && !run.response.destroyed; call += 1) {
+      if (!(await this.callNext(run))) return STATUS_FAILED;
+      if (!(await this.work(partMs, run))) return STATUS_TOO_LATE;
+    }
+    return STATUS_OK;
+  }
+
+  /** @returns whether the work was done before the run's deadline */
+  private async work(durationMs: number, { deadlineAt }: TargetRun): Promise<boolean> {
+    const leftMs = deadlineAt - this.world.now();
+    await new Promise((resolve) => setTimeout(resolve, Math.min(durationMs, leftMs)));
+    return durationMs < leftMs;
   }
 
-  private async work(): Promise<void> {
-    const halfMs = (this.service.workMs * this.misbehaviour.slowness) / 2;
-    await new Promise((resolve) => setTimeout(resolve, halfMs));
+  /** @returns whether the next service answered with success */
+  private async callNext({ id: parent, isRepeat, deadlineAt }: TargetRun): Promise<boolean> {
+    const { record, inherited, now, nestedDeadlineMs } = this.world;
+    const { machine } = this.place;
+    const id = `${parent}/${this.instance}-${(this.nextNested += 1)}`;
+    if (isRepeat) inherited.add(id);
+    const sentAt = now();
+    const deadlineMs = Math.max(1, Math.floor(Math.min(deadlineAt - sentAt, nestedDeadlineMs)));
+    const answer = await this.exchange(id, deadlineMs);
+    record.onEnding({ id, machine, isNested: true, sentAt, endedAt: now(), ...answer });
+    return answer.status === STATUS_OK;
   }
 
-  private async callNext(id: string): Promise<boolean> {
+  private async exchange(id: string, deadlineMs: number): Promise<ExchangeEnd> {
+    const { outboundOrigin, nextPath } = this.place;
     try {
-      const response = await request(`${this.outboundOrigin}${this.nextPath}1`, {
+      const response = await request(`${outboundOrigin}${nextPath}1`, {
         headers: {
           host: this.world.host,
           [NAMES.requestId]: id,
-          [NAMES.deadlineMs]: String(NESTED_DEADLINE_MS),
+          [NAMES.deadlineMs]: String(deadlineMs),
         },
-        signal: AbortSignal.timeout(NESTED_DEADLINE_MS),
+        signal: AbortSignal.timeout(deadlineMs),
       });
-      await response.body.dump();
-      return response.statusCode === STATUS_OK;
-    } catch {
-      // Its sidecar is down or too slow: the call has failed, and with it the run.
-      return false;
+      return await wholeAnswer(response);
+    } catch (error) {
+      return noAnswer(error);
     }
   }
 }
--- /dev/null
+++ b/lab/soak/stop-plan.ts
@@ -0,0 +1,82 @@
+/**
+ * Runs in which planned stops of sidecars are the only fault, in series and overlapping, while targets make many calls
+ * one after the other. Drawn from a seed. Pure.
+ */
+import { SeededRandom, type RandomSource } from '../../src/common/random.js';
+import { drawTimes, FaultKind, type PlannedFault, type SoakPlan } from './soak-plan.js';
+
+const FRONT_MACHINES = 3;
+const REPLICAS = 3;
+const SLOTS = 64;
+const FIRST_STOP_MS = 1_000;
+const LEAST_RESTART_MS = 200;
+const EXTRA_RESTART_MS = 800;
+const RELOAD_PART = 0.15;
+const CALM_MS = 10_000;
+const DEADLINE_MS = 6_000;
+
+/** How requests go: many short runs, or few that last for seconds. */
+interface Load {
+  readonly perSecond: number;
+  readonly callsPerRun: number;
+  readonly callMs: number;
+  readonly stopGapMs: number;
+}
+
+/** Draws a run. @param durationMs length of the traffic in milliseconds, longer than the calm at its end */
+export function drawStopPlan(seed: number, durationMs: number): SoakPlan {
+  const random = new SeededRandom(seed);
+  const load = random.next() < 0.5 ? longRuns(random) : shortRuns(random);
+  const { perSecond, callsPerRun, callMs, stopGapMs } = load;
+  const backMachines = 2 + random.below(2);
+  return {
+    seed,
+    services: [
+      { name: 'front', machines: FRONT_MACHINES, slots: SLOTS, workMs: 10, callsPerRun },
+      { name: 'back', machines: backMachines, slots: SLOTS, workMs: callMs, callsPerRun: 0 },
+    ],
+    replicas: REPLICAS,
+    perSecond,
+    clientDeadlineMs: DEADLINE_MS,
+    timeoutMs: DEADLINE_MS,
+    nestedDeadlineMs: DEADLINE_MS,
+    durationMs,
+    calmMs: CALM_MS,
+    faults: drawStops(random, durationMs - CALM_MS, stopGapMs, FRONT_MACHINES + backMachines),
+    changesAtMs: [],
+  };
+}
+
+function longRuns(random: RandomSource): Load {
+  return {
+    perSecond: 2 + random.below(4),
+    callsPerRun: 9 + random.below(6),
+    callMs: 250 + random.below(200),
+    stopGapMs: 2_000 + random.below(2_000),
+  };
+}
+
+function shortRuns(random: RandomSource): Load {
+  return {
+    perSecond: 10 + random.below(15),
+    callsPerRun: 1 + random.below(8),
+    callMs: 20 + random.below(100),
+    stopGapMs: 2_000 + random.below(2_000),
+  };
+}
+
+function drawStops(
+  random: RandomSource,
+  untilMs: number,
+  gapMs: number,
+  machines: number,
+): PlannedFault[] {
+  return drawTimes(random, FIRST_STOP_MS, untilMs, gapMs).map((atMs) => ({
+    kind: random.next() < RELOAD_PART ? FaultKind.ReloadSidecar : FaultKind.StopSidecar,
+    atMs,
+    forMs: 0,
+    victim: random.below(machines),
+    part: 0,
+    restartAfterMs: LEAST_RESTART_MS + random.below(EXTRA_RESTART_MS),
+  }));
+}
--- a/test/lab/soak.test.ts
+++ b/test/lab/soak.test.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { drawStopPlan } from '../../lab/soak/stop-plan.js';
 import { drawPlan } from '../../lab/soak/soak-plan.js';
 import { answerBody, Check, SoakRecord, type SoakBounds } from '../../lab/soak/soak-record.js';
 import { runSoak } from '../../lab/soak/run-soak.js';
@@ -9,6 +10,10 @@
 /** The run in CI. */
 const CI_SEED = 1;
 const CI_DURATION_MS = 20_000;
+const CI_STOP_SEED = 1;
+const CI_STOP_DURATION_MS = 24_000;
+/** Fewer requests around stops than this would say nothing. */
+const LEAST_CHANCES = 20;
 
 const BOUNDS: SoakBounds = {
   retries: { ratio: 0.2, slack: 5, windowMs: 10_000 },
@@ -17,12 +22,15 @@
   recoveredAt: 20_000,
 };
 
+/** What all endings of these tests share. */
+const OF_CLIENT = { machine: 0, isNested: false, gaveUp: false };
+
 describe('the checks of a soak', () => {
   /** What a run finds in which one client's request got this status, and whatever `also` happened. */
   function found(status: number, also: (record: SoakRecord) => void = () => undefined): Check[] {
     const record = new SoakRecord();
     record.arrivals.onRequest('service', 0);
-    const ending = { machine: 0, sentAt: 100, endedAt: 400 };
+    const ending = { ...OF_CLIENT, sentAt: 100, endedAt: 400 };
     for (let each = 0; each < 10; each += 1) {
       const id = `sound-${each}`;
       record.onEnding({ ...ending, id, status: 200, body: answerBody(id) });
@@ -53,7 +61,7 @@
       run: () =>
         found(200, (record) => {
           const part = answerBody('other').slice(0, -1);
-          const ending = { id: 'other', machine: 0, sentAt: 0, endedAt: 1, status: 200 };
+          const ending = { ...OF_CLIENT, id: 'other', sentAt: 0, endedAt: 1, status: 200 };
           record.onEnding({ ...ending, body: part });
         }),
     },
@@ -72,11 +80,15 @@
       check: Check.CleanStop,
       run: () => found(0, (record) => record.onStop({ machine: 0, fromMs: 200, untilMs: 5_000 })),
     },
+    {
+      check: Check.StopInTime,
+      run: () => found(200, (record) => record.onStopped('sidecar-0', false)),
+    },
     {
       check: Check.Goodput,
       run: () =>
         found(502, (record) => {
-          const failed = { machine: 0, sentAt: 0, endedAt: 1, status: 502, body: '' };
+          const failed = { ...OF_CLIENT, sentAt: 0, endedAt: 1, status: 502, body: '' };
           for (let each = 0; each < 11; each += 1) record.onEnding({ ...failed, id: `f-${each}` });
         }),
     },
@@ -84,7 +96,7 @@
       check: Check.Recovery,
       run: () =>
         found(200, (record) => {
-          const late = { machine: 0, sentAt: 21_000, endedAt: 21_001, status: 502, body: '' };
+          const late = { ...OF_CLIENT, sentAt: 21_000, endedAt: 21_001, status: 502, body: '' };
           record.onEnding({ ...late, id: 'late' });
         }),
     },
@@ -95,6 +107,28 @@
     });
   }
 
+  /** What is found of a call that a target sent this long after the signal, and that ended 100 ms later. */
+  function foundOfCall(afterMs: number, status: number, body = '', gaveUp = false): Check[] {
+    return found(200, (record) => {
+      record.onStop({ machine: 0, fromMs: 1_000, untilMs: 7_000 });
+      record.onRun('call');
+      const sentAt = 1_000 + afterMs;
+      const ending = { machine: 0, isNested: true, sentAt, endedAt: sentAt + 100 };
+      record.onEnding({ ...ending, id: 'call', status, body, gaveUp });
+    });
+  }
+
+  it('find calls of targets that a planned stop has cut, also those sent after its signal', () => {
+    expect(foundOfCall(4_950, 0)).to.deep.equal([Check.CleanStop]);
+    expect(foundOfCall(500, 0)).to.deep.equal([Check.CleanStop]);
+    expect(foundOfCall(4_950, 502)).to.deep.equal([Check.CleanStop]);
+  });
+
+  it('find nothing in calls that their targets have answered, or whose makers gave up', () => {
+    expect(foundOfCall(4_950, 504, answerBody('call'))).to.deep.equal([]);
+    expect(foundOfCall(4_950, 0, '', true)).to.deep.equal([]);
+  });
+
   it('do not blame a planned stop for what something else has cut', () => {
     const checks = found(0, (record) => {
       record.onStop({ machine: 0, fromMs: 200, untilMs: 5_000 });
@@ -112,6 +146,19 @@
     expect(drawPlan(5, 20_000)).not.to.deep.equal(drawPlan(6, 20_000));
   });
 
+  /**
+   * Planned stops in series, runs of targets that outlast them. Before stopping sidecars bounded what they take, calls that
+   * targets made in the last tenth of a second before their end were cut.
+   */
+  it('cuts nothing by planned stops', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
+    const plan = drawStopPlan(CI_STOP_SEED, CI_STOP_DURATION_MS);
+    const { violations, chances } = await runSoak(plan, folder);
+    expect(violations, `logs: ${folder}`).to.deep.equal([]);
+    expect(chances.get(Check.CleanStop)).to.be.above(LEAST_CHANCES);
+    rmSync(folder, { recursive: true, force: true });
+  });
+
   it('breaks no promise', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
     const { violations, chances } = await runSoak(drawPlan(CI_SEED, CI_DURATION_MS), folder);
