--- a/test/call/overdue-refused.test.ts
+++ b/test/call/overdue-refused.test.ts
@@ -13,7 +13,7 @@
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import { RetryAllowance } from '../../src/retry/retry-allowance.js';
 import { CALLEES_DECIDE } from '../../src/retry/retry-budget.js';
-import { Balancer } from '../../src/routing/balancer.js';
+import { oneZoneBalancer } from '../support/one-zone-balancer.js';
 
 const USUAL_MS = 20;
 /** Of the slow call: overdue, and well before its deadline. */
@@ -43,23 +43,7 @@
     const cancelled: string[] = [];
     const clock = new VirtualClock();
     const random = new SeededRandom(3);
-    const balancer = new Balancer({
-      clock,
-      random,
-      callerId: 'caller',
-      callerZone: 'a',
-      slowStartMs: () => 0,
-    });
-    balancer.update(
-      [1, 2, 3].map((index) => ({
-        id: `n${index}`,
-        incarnation: 1,
-        service: 'ledger',
-        zone: 'a',
-        origin: `http://127.0.0.1:${7_000 + index}`,
-        state: 'ready' as const,
-      })),
-    );
+    const balancer = oneZoneBalancer(clock, random);
     const services = {
       clock,
       balancer,
--- a/test/call/overdue.test.ts
+++ b/test/call/overdue.test.ts
@@ -7,7 +7,7 @@
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import { RetryAllowance } from '../../src/retry/retry-allowance.js';
 import { RetryBudget } from '../../src/retry/retry-budget.js';
-import { Balancer } from '../../src/routing/balancer.js';
+import { oneZoneBalancer } from '../support/one-zone-balancer.js';
 import type { EndpointRecord } from '../../src/routing/endpoint.js';
 
 const USUAL_MS = 20;
@@ -49,22 +49,7 @@
   function deployment(options: { budget?: number; nodes?: number } = {}) {
     const clock = new VirtualClock();
     const random = new SeededRandom(3);
-    const balancer = new Balancer({
-      clock,
-      random,
-      callerId: 'caller',
-      callerZone: 'a',
-      slowStartMs: () => 0,
-    });
-    const nodes = Array.from({ length: options.nodes ?? 3 }, (_, index) => ({
-      id: `n${index}`,
-      incarnation: 1,
-      service: 'ledger',
-      zone: 'a',
-      origin: `http://127.0.0.1:${7_000 + index}`,
-      state: 'ready' as const,
-    }));
-    balancer.update(nodes);
+    const balancer = oneZoneBalancer(clock, random, options.nodes);
     const throttle = new OverloadThrottle(random);
     const budget = new RetryBudget(options.budget ?? 5);
     const run = (latencyMs: (attempt: number) => number, members = {}) => {
--- a/test/call/rejected-by-target.test.ts
+++ b/test/call/rejected-by-target.test.ts
@@ -7,7 +7,7 @@
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import { RetryAllowance } from '../../src/retry/retry-allowance.js';
 import { RetryBudget } from '../../src/retry/retry-budget.js';
-import { Balancer } from '../../src/routing/balancer.js';
+import { oneZoneBalancer } from '../support/one-zone-balancer.js';
 
 const CALLS = 200;
 const BURST = 5;
@@ -32,23 +32,7 @@
   async function resent(rejectedByTarget: boolean): Promise<number> {
     const clock = new VirtualClock();
     const random = new SeededRandom(4);
-    const balancer = new Balancer({
-      clock,
-      random,
-      callerId: 'caller',
-      callerZone: 'a',
-      slowStartMs: () => 0,
-    });
-    balancer.update(
-      Array.from({ length: 3 }, (_, index) => ({
-        id: `n${index}`,
-        incarnation: 1,
-        service: 'stock',
-        zone: 'a',
-        origin: `http://127.0.0.1:${7_100 + index}`,
-        state: 'ready' as const,
-      })),
-    );
+    const balancer = oneZoneBalancer(clock, random);
     const services = {
       clock,
       balancer,
