Tell all that a gate knows when it refuses what would outlast it; wait for links to end

A refusal without the gate's knowledge said that targets do not make such calls, which its callers learn from.

--- a/src/call/gate-server.ts
+++ b/src/call/gate-server.ts
@@ -7,15 +7,13 @@
 import { headerOf } from '../http/header-filter.js';
 import type { OriginTracker } from '../routing/origin-tracker.js';
 import type { CallContext } from './call-context.js';
-import { CallDurations } from './call-durations.js';
+import type { CallDurations } from './call-durations.js';
 import type { CallStats } from './call-stats.js';
 import { gateContext, gateOptions } from './gate-policy.js';
 import { InboundCall, type InboundResult, type InboundServices } from './inbound-call.js';
 import type { Outcome } from './outcome.js';
 import type { RefusalReason } from './refusal.js';
 import type { RequestJournal } from './request-journal.js';
-import { gateTakes } from './stop-policy.js';
-import type { StopProgress } from './stop-phase.js';
 
 /** What the gate is made of. */
 export interface GateServerOptions {
@@ -26,18 +24,12 @@
   readonly service: () => string | undefined;
   readonly journal: RequestJournal;
   readonly origins: OriginTracker;
-  readonly stop: StopProgress;
+  /** Learns how long calls take. */
+  readonly durations: CallDurations;
 }
 
-const NOT_RUN: Omit<Outcome, 'refusal' | 'unspentRetries'> = {
-  verdict: 'not-run',
-  overloaded: false,
-  load: undefined,
-};
-
 export class GateServer {
   private readonly underWay = new Set<GateExchange>();
-  private readonly durations = new CallDurations();
 
   constructor(private readonly options: GateServerOptions) {}
 
@@ -48,7 +40,7 @@
     origins.onCall(frame.kind, headerOf(headers, transport.names.callingService) ?? '');
     const nested = origins.isNested(frame.kind);
     const context = gateContext(frame, nested, services.clock.now());
-    const exchange = new GateExchange(this.options, this.durations, call, context, nested);
+    const exchange = new GateExchange(this.options, call, context, nested);
     this.underWay.add(exchange);
     exchange.start(() => this.underWay.delete(exchange));
   };
@@ -68,7 +60,6 @@
 
   constructor(
     private readonly options: GateServerOptions,
-    private readonly durations: CallDurations,
     private readonly incoming: IncomingLinkCall,
     private readonly context: CallContext,
     private readonly nested: boolean,
@@ -78,16 +69,19 @@
 
   /** @param onOver called once, when the exchange has ended */
   start(onOver: () => void): void {
-    const { services, stats, service, transport, stop } = this.options;
+    const { services, stats, service, transport } = this.options;
     const { context, incoming } = this;
     this.onOver = onOver;
     stats.onStart();
     if (context.service !== service()) {
-      this.refuseUnasked('unavailable', 'The target is of another service.');
-      return;
-    }
-    if (!gateTakes(stop, this.durations, context.kind)) {
-      this.refuseUnasked('leaving', 'The call would outlast this process.');
+      const outcome: Outcome = {
+        verdict: 'not-run',
+        refusal: 'unavailable',
+        overloaded: false,
+        unspentRetries: context.retries,
+        load: undefined,
+      };
+      this.refuse('unavailable', outcome, 'The target is of another service.');
       return;
     }
     const call: InboundCall = new InboundCall(
@@ -108,12 +102,6 @@
     this.call?.endWithProcess();
   }
 
-  /** Refuses a call that nothing has been done for yet. */
-  private refuseUnasked(reason: RefusalReason, cause: string): void {
-    const unspentRetries = this.context.retries;
-    this.refuse(reason, { ...NOT_RUN, refusal: reason, unspentRetries }, cause);
-  }
-
   private onCallerGone(call: InboundCall): void {
     if (this.isOver) return;
     this.options.stats.kind(this.context.kind).cancelled += 1;
@@ -136,7 +124,7 @@
       stats.relayed += 1;
       const heldMs = this.options.services.clock.now() - this.startedAt;
       stats.onLatency(heldMs);
-      this.durations.onCall(this.context.kind, heldMs);
+      this.options.durations.onCall(this.context.kind, heldMs);
     }
     this.finish();
   }
--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -29,8 +29,8 @@
 export interface InboundServices extends KindServices, RepeatServices {
   readonly clock: Clock;
   readonly admission: AdmissionController;
-  /** Whether the node is leaving and takes no new calls. */
-  readonly isLeaving: () => boolean;
+  /** Whether the node is leaving and takes no new calls of this kind. */
+  readonly isLeaving: (kind: string) => boolean;
   readonly claims: KeyClaims;
   /** Another instance answered at the target's address. */
   readonly onMisdirected?: (expectedInstance: string) => void;
@@ -112,7 +112,7 @@
 
   /** Starts the call. The listener may hear the result before this returns. */
   start(): void {
-    if (this.services.isLeaving()) {
+    if (this.services.isLeaving(this.context.kind)) {
       this.refuse('leaving', 'not-run', LEAVING_RETRY_AFTER_SECONDS, 'The target is leaving.');
       return;
     }
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -234,10 +234,15 @@
     return started;
   }
 
-  /** Takes no connections any more, and ends the open ones once what still waits has been sent. */
-  finish(): void {
-    this.server.close();
-    for (const link of this.links) link.finish();
+  /**
+   * Takes no connections any more, and ends the open ones once what still waits has been sent. Resolves when their peers
+   * have ended them, too.
+   */
+  async finish(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+      for (const link of this.links) link.finish();
+    });
   }
 
   /** Takes no connections any more, and ends the open ones at once. */
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -8,6 +8,7 @@
 import { KindImpact } from '../admission/kind-impact.js';
 import { KindLimiter } from '../admission/kind-limiter.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
+import { CallDurations } from '../call/call-durations.js';
 import { CallStats } from '../call/call-stats.js';
 import { GATE_SHARING, QUEUE_WAIT_MS, SLOT_FRACTION } from '../call/gate-policy.js';
 import { GateServer } from '../call/gate-server.js';
@@ -46,6 +47,7 @@
 import type { Program } from './program.js';
 import { SidecarStop } from './sidecar-stop.js';
 import { StopPhase, StopProgress } from '../call/stop-phase.js';
+import { gateTakes } from '../call/stop-policy.js';
 
 /** What a deployment may have in its own way. */
 export interface SidecarVariations {
@@ -93,6 +95,7 @@
   private announcedService = '';
   private hasLookedForTarget = false;
   private readonly stopProgress = new StopProgress(this.clock);
+  private readonly gateDurations = new CallDurations();
 
   constructor(
     private readonly settings: SidecarSettings,
@@ -252,7 +255,8 @@
         clock,
         admission,
         claims: NO_CLAIMS,
-        isLeaving: () => this.isLeaving,
+        isLeaving: (kind) =>
+          !lease.isReady || !gateTakes(this.stopProgress, this.gateDurations, kind),
         onMisdirected: (instance) => lease.onMisdirected(instance),
         queueLevels: this.queueLevels,
         downstreamLevel: () => this.downstream.current(),
@@ -271,7 +275,7 @@
       service: () => lease.current?.service,
       journal,
       origins: new OriginTracker(() => this.directory.machines),
-      stop: this.stopProgress,
+      durations: this.gateDurations,
     });
   }
 
--- a/src/programs/sidecar-stop.ts
+++ b/src/programs/sidecar-stop.ts
@@ -81,9 +81,12 @@
   private async end(): Promise<void> {
     const { follower, linkServer, ingressServer, otherServers, links, instancePool } = this.parts;
     follower.stop();
-    linkServer.finish();
     links.finish();
-    await within(ingressServer.close(), CLOSE_MS);
+    const closed = Promise.all([linkServer.finish(), ingressServer.close()]);
+    await within(
+      closed.then(() => undefined),
+      CLOSE_MS,
+    );
     for (const server of [linkServer, ingressServer, ...otherServers]) server.destroy();
     links.destroy();
     await instancePool.destroy();
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -213,7 +213,7 @@
       call.writeHead(200, []);
       call.write(Buffer.from('whole'));
       call.end();
-      server.finish();
+      void server.finish();
     });
     const recorder = new Recorder();
     const finished = once(recorder, 'finished');
