--- a/lab/soak/run-soak.ts
+++ b/lab/soak/run-soak.ts
@@ -1,7 +1,8 @@
 /** Runs one soak: real processes on loopback, faults from outside, and checks of what callers and targets see. */
-import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { request } from 'undici';
+import { UsageError } from '../../src/common/errors.js';
 import { SeededRandom } from '../../src/common/random.js';
 import { SoakClients } from './soak-clients.js';
 import { SoakFaults } from './soak-faults.js';
@@ -22,6 +23,7 @@
   readonly workDir: string;
 }
 
+const PLAN_FILE = 'plan.json';
 const REPORT_INTERVAL_MS = 500;
 /** Traffic starts once all know each other, and which routes targets call; in milliseconds. */
 const LEAD_MS = 4_000;
@@ -36,10 +38,14 @@
 /** Part of the calm end in which things may still recover, in milliseconds. */
 const RECOVERY_MS = 4_000;
 
-/** Runs a plan. @throws when a process does not start */
+/** Runs a plan. @throws when a process does not start, or an earlier run has left its files in the folder */
 export async function runSoak(plan: SoakPlan, workDir: string): Promise<SoakResult> {
+  if (existsSync(join(workDir, PLAN_FILE))) {
+    // Control replicas would start with the state of that run, whose addresses nobody has any more.
+    throw new UsageError(`${workDir} holds an earlier run; remove it, or name another folder`);
+  }
   mkdirSync(workDir, { recursive: true });
-  writeFileSync(join(workDir, 'plan.json'), JSON.stringify(plan, undefined, 2));
+  writeFileSync(join(workDir, PLAN_FILE), JSON.stringify(plan, undefined, 2));
   const fleet = await SoakFleet.start(plan, workDir);
   const run = new SoakRun(plan, fleet);
   try {
--- a/test/lab/soak.test.ts
+++ b/test/lab/soak.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { mkdtempSync, rmSync } from 'node:fs';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { drawStopPlan } from '../../lab/soak/stop-plan.js';
@@ -150,6 +150,16 @@
    * Planned stops in series, runs of targets that outlast them. Before stopping sidecars bounded what they take, calls that
    * targets made in the last tenth of a second before their end were cut.
    */
+  it('is not run in a folder that holds another run', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
+    writeFileSync(join(folder, 'plan.json'), '{}');
+    const refused = await runSoak(drawPlan(CI_SEED, CI_DURATION_MS), folder).catch(
+      (error: unknown) => error,
+    );
+    expect(String(refused)).to.include('holds an earlier run');
+    rmSync(folder, { recursive: true });
+  });
+
   it('cuts nothing by planned stops', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
     const plan = drawStopPlan(CI_STOP_SEED, CI_STOP_DURATION_MS);
