--- /dev/null
+++ b/test/programs/edge-stop.test.ts
@@ -0,0 +1,76 @@
+import { expect } from 'chai';
+import { request } from 'undici';
+import type { Program } from '../../src/programs/program.js';
+import {
+  Cleanup,
+  operatorClient,
+  startTarget,
+  startTestControl,
+  startTestEdge,
+  startTestNode,
+  until,
+  untilReady,
+} from '../support/processes.js';
+
+const STOP = { drainMs: 400, timeoutMs: 600 };
+const STATUS_TOO_LATE = 504;
+
+const POLICY = {
+  kind: 'Policy' as const,
+  name: 'shop',
+  spec: {
+    groups: [{ name: 'public', share: 1, keyHashes: [] }],
+    defaultGroup: 'public',
+    kinds: [
+      {
+        name: 'read',
+        service: 'front',
+        match: [{ method: 'GET' as const, path: '/front/{id}' }],
+        importance: 'normal' as const,
+        repeatable: true,
+        internal: false,
+        deadlineMs: 5_000,
+      },
+    ],
+    retry: { allowance: 0, ratio: 0 },
+  },
+};
+
+/**
+ * Symptom: requests that an edge took while it was stopping ended with a reset connection.
+ * Sequence: SIGTERM; a request of 5 s arrives while the edge drains; the edge ends after 1 s.
+ * Cause: nothing but the end of the process bounded the time of what it took.
+ */
+describe('the planned stop of an edge', function () {
+  this.timeout(20_000);
+  const cleanup = new Cleanup();
+  let edge: Program;
+  let isQuick = true;
+
+  before(async () => {
+    const control = await startTestControl(cleanup);
+    await operatorClient(control).put(POLICY, { changeId: 'first' });
+    const target = await startTarget(cleanup, (_message, response) => {
+      if (isQuick) response.end('quick');
+    });
+    await startTestNode(cleanup, control, 'front', target);
+    edge = await startTestEdge(cleanup, control, STOP);
+    await untilReady(edge);
+    await until(async () => (await statusOf()) === 200);
+  });
+
+  after(() => cleanup.run());
+
+  async function statusOf(): Promise<number> {
+    const response = await request(`${edge.origins.listen}/front/1`);
+    await response.body.dump();
+    return response.statusCode;
+  }
+
+  it('answers what it has taken before it ends', async () => {
+    isQuick = false;
+    const stopped = edge.stop();
+    expect(await statusOf()).to.equal(STATUS_TOO_LATE);
+    await stopped;
+  });
+});
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -141,8 +141,12 @@
   return program;
 }
 
-/** Starts an edge. */
-export async function startTestEdge(cleanup: Cleanup, control: Program): Promise<Program> {
+/** Starts an edge. @param stop how it is stopped */
+export async function startTestEdge(
+  cleanup: Cleanup,
+  control: Program,
+  stop = { drainMs: 0, timeoutMs: 5_000 },
+): Promise<Program> {
   const program = await startEdge(
     edgeSettingsSchema.parse({
       id: 'edge-1',
@@ -151,7 +155,7 @@
       listen: ANY_PORT,
       control: [control.origins.listen],
       linkToken: LINK_TOKEN,
-      stop: { drainMs: 0, timeoutMs: 5_000 },
+      stop,
     }),
     SILENT_LOGGER,
   );
