--- a/lab/soak/soak-clients.ts
+++ b/lab/soak/soak-clients.ts
@@ -46,7 +46,7 @@
   }
 
   private async send(): Promise<void> {
-    const { random, record, now } = this.world;
+    const { random, record, now, deadlineMs } = this.world;
     const { index: machine, outbound } = this.machine;
     const isOnce = random.next() < ONCE_PART;
     const id = `c${machine}-${(this.sent += 1)}`;
@@ -56,7 +56,8 @@
       id,
       isOnce,
     });
-    record.onEnding({ id, machine, isNested: false, sentAt, endedAt: now(), ...answer });
+    const endedAt = now();
+    record.onEnding({ id, machine, isNested: false, deadlineMs, sentAt, endedAt, ...answer });
   }
 
   private async exchange(
--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -160,7 +160,8 @@
     const sentAt = now();
     const deadlineMs = Math.max(1, Math.floor(Math.min(deadlineAt - sentAt, nestedDeadlineMs)));
     const answer = await this.exchange(id, deadlineMs);
-    record.onEnding({ id, machine, isNested: true, sentAt, endedAt: now(), ...answer });
+    const endedAt = now();
+    record.onEnding({ id, machine, isNested: true, deadlineMs, sentAt, endedAt, ...answer });
     return answer.status === STATUS_OK;
   }
 
