--- a/test/call/stop-policy.test.ts
+++ b/test/call/stop-policy.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import fc from 'fast-check';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import type { CallContext } from '../../src/call/call-context.js';
 import { CallDurations } from '../../src/call/call-durations.js';
@@ -119,6 +120,31 @@
     expect(boundedByStop(context, progress).answerMarginMs).to.equal(25);
   });
 
+  it('never gets more time than the stop leaves, whatever the stop and the request are', () => {
+    const times = fc.record({
+      graceMs: fc.integer({ min: 100, max: 60_000 }),
+      sincePart: fc.double({ min: 0, max: 0.89, noNaN: true }),
+      wantedMs: fc.integer({ min: 0, max: 120_000 }),
+    });
+    fc.assert(
+      fc.property(times, ({ graceMs, sincePart, wantedMs }) => {
+        const clock = new VirtualClock();
+        const progress = new StopProgress(clock);
+        const stop = stopTimes({ drainMs: 0, timeoutMs: 0, graceMs });
+        progress.begin(stop);
+        clock.runUntil(sincePart * graceMs);
+        const deadlineAt = clock.now() + wantedMs;
+        const bounded = boundedByStop({ deadlineAt } as CallContext, progress);
+        const targetUntil = bounded.deadlineAt - (bounded.answerMarginMs ?? 0);
+        expect(bounded.deadlineAt).to.be.at.most(Math.min(deadlineAt, stop.answerMs));
+        expect(targetUntil).to.be.at.least(clock.now());
+        expect(targetUntil < bounded.deadlineAt).to.equal(deadlineAt > stop.answerMs);
+        expect(stop.answerMs).to.be.below(stop.endMs);
+        expect(stop.endMs).to.be.below(graceMs);
+      }),
+    );
+  });
+
   it('is judged by the latest calls of its kind', () => {
     const durations = new CallDurations();
     for (let call = 0; call < 100; call += 1) durations.onCall(KIND, 9_000);
