--- a/src/call/stop-policy.ts
+++ b/src/call/stop-policy.ts
@@ -30,7 +30,10 @@
   readonly isNested: boolean;
 }
 
-/** Whether an ingress takes a request. */
+/**
+ * Whether an ingress takes a request. Taken until the end, calls of the target were cut there after they had arrived (8 in
+ * a stop of 2 s, runs of 4 s that make calls of 120 ms).
+ */
 export function ingressTakes(
   progress: StopProgress,
   durations: CallDurations,
@@ -50,14 +53,17 @@
   }
 }
 
-/** Whether a gate takes a call for its target. */
+/** Whether a gate takes a call for its target. Calls that outlast the process were broken off at the target. */
 export function gateTakes(progress: StopProgress, durations: CallDurations, kind: string): boolean {
   if (progress.phase === StopPhase.Running) return true;
   if (progress.phase !== StopPhase.Draining) return false;
   return durations.quantileMs(kind, NEARLY_SURE_PART) < progress.answerTimeLeftMs;
 }
 
-/** The context of a request with no more time than a stop under way leaves it. */
+/**
+ * The context of a request with no more time than a stop under way leaves it: a call that takes longer than usual ends with
+ * its target's own answer, and not with a reset connection.
+ */
 export function boundedByStop(context: CallContext, progress: StopProgress): CallContext {
   const { answersUntil } = progress;
   if (context.deadlineAt <= answersUntil) return context;
