Never send a half-read request on that was told that it has not run

Cause: at the end of a stop a request whose body has not come is refused; on a connection that is kept, because it began before the stop, the rest of the body could arrive in the last 0.15 s, and the request was sent on. Found by reading; the test fails without the guard (sent to the target after its 503).

--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -199,13 +199,15 @@
 
   endWithProcess(): void {
     if (this.call !== undefined) this.call.endWithProcess();
-    else {
+    else if (!this.response.headersSent) {
       const detail = 'The process had to end before the request was read.';
       this.refuse({ reason: 'leaving', verdict: 'not-run', retryAfterSeconds: 1, detail });
     }
   }
 
   private send(body: RequestBody): void {
+    // A request that was told that it has not run is not sent on when the rest of its body arrives.
+    if (this.response.headersSent) return;
     const { router, transport, nestedRoutes } = this.options;
     const { context, route, service } = this;
     this.call = router.call(
--- a/test/call/ingress-stop.test.ts
+++ b/test/call/ingress-stop.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { connect, type AddressInfo } from 'node:net';
+import { setImmediate, setTimeout as delay } from 'node:timers/promises';
 import { request } from 'undici';
 import { CongestionLevel } from '../../src/admission/congestion-level.js';
 import { CallStats } from '../../src/call/call-stats.js';
@@ -22,6 +24,9 @@
 import { NestedRoutes } from '../../src/routing/nested-routes.js';
 import { WeightedSplit } from '../../src/routing/weighted-split.js';
 
+/** Many times what the rest of a body needs on loopback. */
+const REST_MS = 100;
+
 function route(name: string): Resource {
   const limits = { timeoutMs: 2_000, objectiveMs: 1_000, rank: 0, maxTargets: 2 };
   const spec = { host: 'shop.example', pathPrefix: `/${name}/`, semantics: 'repeatable' };
@@ -32,6 +37,7 @@
   const stop = new StopProgress(new SystemClock());
   let sent: string[] = [];
   let server: Server;
+  let ingress: IngressServer;
 
   before(async () => {
     const clock = new SystemClock();
@@ -51,7 +57,7 @@
       },
     } as unknown as IngressServerOptions['router'];
     const names = DEFAULT_TARGET_HEADERS;
-    const ingress = new IngressServer({
+    ingress = new IngressServer({
       clock,
       random,
       fractionalRetryAfter: true,
@@ -112,6 +118,25 @@
     expect(Number(refused.headers['retry-after'])).to.be.above(0);
     expect((await ask('target')).sent).to.deep.equal(['target/ledger']);
   });
+
+  it('does not send a request on that it has given up, when the rest of its body arrives', async () => {
+    sent = [];
+    // It began before the stop, so its connection is kept after the answer.
+    stop.phase = StopPhase.Running;
+    const { port } = server.address() as AddressInfo;
+    const client = connect({ host: '127.0.0.1', port });
+    let answer = '';
+    client.on('data', (bytes) => (answer += bytes.toString()));
+    client.write('POST /target/1 HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 4\r\n\r\nha');
+    while (ingress.recordsUnderWay().length === 0) await setImmediate();
+    ingress.endWithProcess();
+    await once(client, 'data');
+    client.write('lf');
+    await delay(REST_MS);
+    client.destroy();
+    expect(answer).to.match(/^HTTP\/1.1 503/);
+    expect(sent).to.deep.equal([]);
+  });
 });
 
 type Hear = (result: {
