--- /dev/null
+++ b/test/programs/crashing-requests.test.ts
@@ -0,0 +1,117 @@
+/**
+ * A request crashed every target that began to run it, and came again, with the same path, caller and body, at other
+ * sidecars. Under one of them three targets had ended and 7 to 10 more were sent it, 16 ended in all; under the next, 17. Each
+ * process forgot a request with its attempt, so every arrival was the first, and a repeatable one took a second target 5 to
+ * 11 ms after the first had crashed. What settled it: of one request `reaches server i-0e6fa2ec23 .. 49.554 s its run ends: 0
+ * crashed .. 49.565 s reaches server i-25c8e927ca`, the next one at 49.790 s, and no log line names it twice.
+ */
+import { expect } from 'chai';
+import { CrashingTargets, pause } from '../support/crashing-targets.js';
+
+const FRONTS = 6;
+const BACKS = 4;
+/** Time in which all processes are to know, in milliseconds: the bound on contact of a platform. */
+const CONTACT_MS = 3_000;
+/** Times that a request may still reach a target later than that. */
+const MAX_LATE_RUNS = 3;
+const GAP_MS = 300;
+const WATCHED_MS = 7_500;
+/** Time from the third crash in which the targets are all back, in milliseconds. */
+const SETTLED_MS = CONTACT_MS + 1_000;
+const INNOCENT_GAP_MS = 40;
+const STATUS_OK = 200;
+
+interface Asked {
+  readonly at: number;
+  readonly status: number;
+}
+
+describe('a request that crashes the targets that run it', function () {
+  this.timeout(60_000);
+  let targets: CrashingTargets;
+
+  afterEach(() => targets.end());
+
+  /** Sends `path` again and again at machines in turn, and innocent requests beside it. */
+  async function watch(path: string, body: string | undefined, innocents: readonly string[]) {
+    const endAt = performance.now() + WATCHED_MS;
+    const asked: Asked[] = [];
+    const crashing: Promise<number>[] = [];
+    let next = 0;
+    const ask = (innocent: string): void => {
+      const at = performance.now();
+      const request = { path: innocent, body: 'harmless', machine: (next += 1) % FRONTS };
+      void targets.ask(request).then((status) => asked.push({ at, status }));
+    };
+    const innocent = setInterval(() => {
+      for (const each of innocents) ask(each);
+    }, INNOCENT_GAP_MS);
+    for (let turn = 0; performance.now() < endAt; turn += 1) {
+      const request = { path, machine: (turn * 5) % FRONTS };
+      crashing.push(targets.ask(body === undefined ? request : { ...request, body }));
+      await pause(GAP_MS);
+    }
+    clearInterval(innocent);
+    const statuses = await Promise.all(crashing);
+    await pause(2 * GAP_MS);
+    return { asked, statuses };
+  }
+
+  function servedPart(asked: readonly Asked[], from: number): number {
+    const counted = asked.filter(({ at }) => at >= from);
+    return counted.filter(({ status }) => status === STATUS_OK).length / counted.length;
+  }
+
+  function expectBounded(path: string, body = ''): void {
+    expect(targets.crashedAt.length).to.be.at.least(3);
+    const late = targets.runsAfterThirdCrash(path, body, CONTACT_MS);
+    expect(late.length, 'runs long after the third crash').to.be.at.most(MAX_LATE_RUNS);
+  }
+
+  function crashesOf(path: string, body = '') {
+    return (run: { path: string; body: string }): boolean => run.path === path && run.body === body;
+  }
+
+  it('is kept from targets soon after it has crashed three, but not others of its path', async () => {
+    for (const [path, body] of [
+      ['/front/bad', undefined],
+      ['/once/bad', 'deadly'],
+    ] as const) {
+      const crashes = crashesOf(path, body);
+      targets = await CrashingTargets.start({ fronts: FRONTS, backs: 0, crashes });
+      const { asked, statuses } = await watch(path, body, ['/front/good', path]);
+      expectBounded(path, body);
+      expect(statuses.at(-1)).to.equal(503);
+      expect(servedPart(asked, targets.crashedAt[2]! + SETTLED_MS)).to.equal(1);
+      await targets.end();
+    }
+  });
+
+  it('is kept from the targets of a called service, and its caller from no blame', async () => {
+    const crashes = crashesOf('/back/bad');
+    const callOf = (path: string): string | undefined =>
+      path === '/front/bad' ? '/back/bad' : path === '/front/good' ? '/back/good' : undefined;
+    targets = await CrashingTargets.start({ fronts: FRONTS, backs: BACKS, crashes, callOf });
+    const { asked, statuses } = await watch('/front/bad', undefined, ['/front/good']);
+    expectBounded('/back/bad');
+    expect(statuses.at(-1)).to.equal(500);
+    expect(servedPart(asked, targets.crashedAt[2]! + SETTLED_MS)).to.equal(1);
+  });
+
+  it('is not one that is merely under way whenever targets crash by themselves', async () => {
+    targets = await CrashingTargets.start({ fronts: FRONTS, backs: 0, crashes: () => false });
+    const crash = async (): Promise<void> => {
+      for (let each = 0; each < FRONTS; each += 1) {
+        await pause(2 * GAP_MS);
+        targets.crash(each);
+      }
+    };
+    const [{ asked }] = await Promise.all([
+      watch('/front/popular', undefined, ['/front/popular', '/front/popular']),
+      crash(),
+    ]);
+    const calmFrom = performance.now() - 2_000;
+    expect(servedPart(asked, calmFrom)).to.equal(1);
+    expect(servedPart(asked, 0)).to.be.at.least(0.9);
+  });
+});
