--- a/lab/simulator/replication/sim-replica.ts
+++ b/lab/simulator/replication/sim-replica.ts
@@ -19,6 +19,7 @@
 import { SyncResponder } from '../../../src/control/sync-responder.js';
 import { MachineClock } from '../machine-clock.js';
 import { SimMachine } from '../sim-network.js';
+import { CrashEvidence } from '../../../src/quarantine/crash-evidence.js';
 import type { ReplicationChecker } from './replication-checker.js';
 import type { ReplicationNetwork } from './replication-network.js';
 import { SimDisk } from './sim-disk.js';
@@ -152,7 +153,13 @@
   /** A follower's sync has arrived, as in the follower API. */
   sync(request: SyncRequest, answer: (response: SyncResponse | undefined) => void): void {
     const clock = new MachineClock(this.options.network.clock, this.machine);
-    const responder = new SyncResponder(clock, this.store, this.members, this.name);
+    const responder = new SyncResponder(
+      clock,
+      this.store,
+      this.members,
+      this.name,
+      new CrashEvidence(clock),
+    );
     const isHeld = request.revision !== NO_REVISION;
     const holdUntil = clock.now() + SYNC_HOLD_MS;
     const respond = (): void => {
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -22,7 +22,7 @@
   ingressContext,
   ingressRequest,
 } from '../../../src/call/ingress-policy.js';
-import type { OutboundResult } from '../../../src/call/outbound-call.js';
+import type { OutboundResult } from '../../../src/call/outbound-request.js';
 import { OutboundRouter } from '../../../src/call/outbound-router.js';
 import type { Outcome } from '../../../src/call/outcome.js';
 import { refusalStatus } from '../../../src/call/refusal.js';
--- a/lab/simulator/sim-edge.ts
+++ b/lab/simulator/sim-edge.ts
@@ -2,7 +2,7 @@
 import { OverloadThrottle } from '../../src/admission/overload-throttle.js';
 import { edgeOutboundRequest, mintContext } from '../../src/call/mint-context.js';
 import type { CallContext } from '../../src/call/call-context.js';
-import type { OutboundRequest } from '../../src/call/outbound-call.js';
+import type { OutboundRequest } from '../../src/call/outbound-request.js';
 import { OutboundRouter } from '../../src/call/outbound-router.js';
 import { refusalStatus } from '../../src/call/refusal.js';
 import type { Clock } from '../../src/common/clock.js';
--- a/src/call/call-context.ts
+++ b/src/call/call-context.ts
@@ -29,6 +29,8 @@
   readonly inheritedShare?: number | undefined;
   /** Time in milliseconds before the deadline at which the target is to stop, so that its own answer arrives. Default 0. */
   readonly answerMarginMs?: number | undefined;
+  /** Names the request whenever it comes again; empty or absent where it is not known. */
+  readonly fingerprint?: string | undefined;
 }
 
 /** Request header between shoredoor processes: identity, remaining time and retries. */
--- a/src/call/edge-server.ts
+++ b/src/call/edge-server.ts
@@ -12,7 +12,7 @@
 import type { CallContext } from './call-context.js';
 import type { CallStats } from './call-stats.js';
 import { edgeOutboundRequest, mintContext } from './mint-context.js';
-import type { OutboundResult } from './outbound-call.js';
+import type { OutboundResult } from './outbound-request.js';
 import type { OutboundRouter } from './outbound-router.js';
 import { requestPath, waitPreferenceMs } from './request-target.js';
 import type { Refusal, RefusalReason } from './refusal.js';
--- a/src/call/gate-server.ts
+++ b/src/call/gate-server.ts
@@ -11,7 +11,7 @@
 import type { CallStats } from './call-stats.js';
 import { gateContext, gateOptions } from './gate-policy.js';
 import { InboundCall, type InboundResult, type InboundServices } from './inbound-call.js';
-import type { Outcome } from './outcome.js';
+import { CrashNote, type Outcome } from './outcome.js';
 import type { RefusalReason } from './refusal.js';
 import type { RequestJournal } from './request-journal.js';
 
@@ -73,15 +73,18 @@
     const { context, incoming } = this;
     this.onOver = onOver;
     stats.onStart();
-    if (context.service !== service()) {
-      const outcome: Outcome = {
-        verdict: 'not-run',
-        refusal: 'unavailable',
-        overloaded: false,
-        unspentRetries: context.retries,
-        load: undefined,
-      };
-      this.refuse('unavailable', outcome, 'The target is of another service.');
+    const present = service();
+    if (present === undefined) {
+      // Callers leave this endpoint alone until its next incarnation.
+      this.refuseUnbegun('leaving', 'There is no target now.');
+      return;
+    }
+    if (context.service !== present) {
+      this.refuseUnbegun('unavailable', 'The target is of another service.');
+      return;
+    }
+    if (services.crashGuard?.isQuarantined(context.fingerprint ?? '') === true) {
+      this.refuseUnbegun('unavailable', 'Targets crash under the request.', CrashNote.Quarantined);
       return;
     }
     const call: InboundCall = new InboundCall(
@@ -129,6 +132,18 @@
     this.finish();
   }
 
+  private refuseUnbegun(reason: RefusalReason, cause: string, crashNote?: CrashNote): void {
+    const outcome: Outcome = {
+      verdict: 'not-run',
+      refusal: reason,
+      overloaded: false,
+      unspentRetries: this.context.retries,
+      load: undefined,
+      ...(crashNote !== undefined && { crashNote }),
+    };
+    this.refuse(reason, outcome, cause);
+  }
+
   private refuse(reason: RefusalReason, outcome: Outcome, cause: string): void {
     this.options.stats.kind(this.context.kind).onRefused(reason);
     this.options.journal.onGate(this.context, reason, outcome.verdict, this.startedAt, cause);
--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -9,11 +9,13 @@
 import type { Clock, Timer } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
 import type { ClaimDecision, ClaimHandle, KeyClaims } from '../dedup/claim.js';
+import type { CrashGuard } from '../quarantine/crash-guard.js';
+import { RunEnd, type TargetState, type WatchedRun } from '../quarantine/crash-watch.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
 import type { CallContext } from './call-context.js';
 import { KindUse, type KindServices } from './kind-use.js';
 import { NestedTime } from './nested-time.js';
-import type { LoadReport, Outcome } from './outcome.js';
+import { CrashNote, type LoadReport, type Outcome } from './outcome.js';
 import type { Refusal, RefusalReason } from './refusal.js';
 import { RepeatUse, type RepeatServices } from './repeat-use.js';
 import type {
@@ -39,6 +41,8 @@
    * may go on while those wait.
    */
   readonly queueLevels?: readonly CongestionLevel[];
+  /** Tells crashes of the target from connections that break. */
+  readonly crashGuard?: CrashGuard;
 }
 
 /** What a gate knows of a call besides its context. */
@@ -61,6 +65,7 @@
 const LEAVING_RETRY_AFTER_SECONDS = 1;
 /** Part of its limit from which a target counts as full: reports of its slots may be a little old. */
 const FULL_PART = 0.8;
+const STATUS_SERVER_ERROR = 500;
 const STATUS_SHEDDING = 503;
 /** Stands for a target that did not answer before the deadline (RFC 9110, section 15.6.5). */
 const STATUS_NO_ANSWER = 504;
@@ -81,12 +86,15 @@
   private permit: AdmissionPermit | undefined;
   private claim: ClaimHandle | undefined;
   private attempt: Attempt | undefined;
+  private run: WatchedRun | undefined;
+  private crashNote: CrashNote | undefined;
   private deadlineTimer: Timer | undefined;
   private nestedOverload = false;
   private refusedForOverload = false;
   private rejectedByTarget = false;
   private waitedLong = false;
   private answerBegan = false;
+  private status = 0;
   private finished = false;
   private readonly startedAt: number;
   private admittedAt = 0;
@@ -172,6 +180,7 @@
       ...this.congestion(),
       ...(this.isNested && { nested: true }),
       ...(this.rejectedByTarget && { rejectedByTarget: true }),
+      ...(this.crashNote !== undefined && { crashNote: this.crashNote }),
       unspentRetries: this.allowance.end(),
       load: this.loadReport(),
     };
@@ -240,6 +249,7 @@
   private forward(): void {
     this.claim?.onForwarded();
     this.repeatUse.onArrival();
+    this.run = this.services.crashGuard?.watch.begin(this.context.fingerprint ?? '');
     this.attempt = this.transport.send({
       onHead: (head) => this.onHead(head),
       onEnd: () => this.onEnd(),
@@ -253,6 +263,7 @@
       return 'discard';
     }
     this.answerBegan = true;
+    this.status = head.status;
     this.claim?.onAnswered();
     this.learnFrom(head.status);
     if (head.status === STATUS_SHEDDING && !this.nestedOverload) {
@@ -289,6 +300,7 @@
     const isFull = this.isTargetFull();
     this.release('dropped');
     if (fault !== 'foreign') {
+      this.run?.end(RunEnd.Failed);
       this.rejectedByTarget = true;
       this.claim?.release();
       this.refusedForOverload = fault === 'not-executed' && isFull;
@@ -303,12 +315,15 @@
   }
 
   private onEnd(): void {
+    this.run?.end(this.status < STATUS_SERVER_ERROR ? RunEnd.Answered : RunEnd.Failed);
     this.release('answered');
     this.finish({ type: 'relayed' });
   }
 
   private onFailure(failure: AttemptFailure): void {
+    this.run?.end(failure.written ? RunEnd.Lost : RunEnd.Failed);
     this.release(failure.reason === 'caller-gone' ? 'cancelled' : 'dropped');
+    const targetState = this.run?.targetState();
     if (this.answerBegan) {
       this.finish({ type: 'broken', verdict: 'ran' });
       return;
@@ -319,6 +334,26 @@
       this.refuse('bad-request', verdict, 0, 'The request body broke off.');
       return;
     }
+    if (targetState === undefined) this.refuseBroken(verdict);
+    else void targetState.then((state) => this.refuseAfterBreak(verdict, state));
+  }
+
+  private refuseAfterBreak(verdict: Verdict, { isDown, underWay }: TargetState): void {
+    if (!isDown) {
+      this.refuseBroken(verdict);
+      return;
+    }
+    this.crashNote = CrashNote.TargetDown;
+    if (verdict === 'not-run') {
+      this.refuse('leaving', verdict, LEAVING_RETRY_AFTER_SECONDS, 'The target is down.');
+      return;
+    }
+    const { crashGuard } = this.services;
+    if (crashGuard?.isLikelyCause(this.run!, underWay) === true) this.crashNote = CrashNote.Suspect;
+    this.refuse('unreachable', verdict, 1, 'The target crashed.');
+  }
+
+  private refuseBroken(verdict: Verdict): void {
     this.refuse('unreachable', verdict, 1, 'The connection to the target broke.');
   }
 
@@ -345,6 +380,7 @@
     this.deadlineTimer?.cancel();
     if (this.attempt?.written !== true) this.claim?.release();
     this.attempt?.cancel();
+    this.run?.end(RunEnd.Lost);
     this.release(outcome);
   }
 
@@ -369,6 +405,7 @@
     if (this.finished) return;
     this.finished = true;
     this.deadlineTimer?.cancel();
+    this.run?.end(RunEnd.Lost);
     this.release('cancelled');
     this.listener(result);
   }
--- a/src/call/ingress-policy.ts
+++ b/src/call/ingress-policy.ts
@@ -5,7 +5,7 @@
 import { RetryAllowance } from '../retry/retry-allowance.js';
 import { contextName, type CallContext } from './call-context.js';
 import type { RandomSource } from '../common/random.js';
-import type { OutboundRequest, OutboundResult } from './outbound-call.js';
+import type { OutboundRequest, OutboundResult } from './outbound-request.js';
 import type { Refusal } from './refusal.js';
 
 /** All requests share one group: routes carry their rank, and clients no key. */
@@ -76,6 +76,7 @@
     isRepeat,
     inheritedShare: context.inheritedShare ?? 0,
     answerMarginMs: context.answerMarginMs ?? 0,
+    fingerprint: context.fingerprint ?? '',
   };
 }
 
@@ -105,6 +106,8 @@
 /** Seconds after which a request that got this refusal is to come again; 0 where that does not help. */
 export function comeBackSeconds(route: Route, refusal: Refusal, random: RandomSource): number {
   if (refusal.verdict !== 'not-run' || refusal.retryAfterSeconds === 0) return 0;
+  // It would be refused as well within the objective.
+  if (refusal.reason === 'quarantined') return refusal.retryAfterSeconds;
   const factor = 1 - COME_BACK_SPREAD + 2 * COME_BACK_SPREAD * random.next();
   return (route.objectiveMs * COME_BACK_PART * factor) / MILLISECONDS;
 }
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -10,6 +10,7 @@
 import { PeerTransport, type PeerTransportOptions } from '../link/peer-transport.js';
 import { readRequestBody, type BodyLimits, type RequestBody } from '../http/request-body.js';
 import { deadlineOf, headerValue, type TargetHeaders } from '../http/target-headers.js';
+import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import type { RepeatedRuns } from '../retry/repeated-runs.js';
 import type { ServiceRetryBudget } from '../retry/service-retry-budget.js';
 import type { PolicyTable } from '../policy/policy-table.js';
@@ -20,9 +21,10 @@
 import { CallDurations } from './call-durations.js';
 import type { CallStats } from './call-stats.js';
 import { comeBackSeconds, congestionOf, ingressContext, ingressRequest } from './ingress-policy.js';
-import type { OutboundCall, OutboundResult } from './outbound-call.js';
+import type { OutboundCall } from './outbound-call.js';
+import type { OutboundResult } from './outbound-request.js';
 import type { OutboundRouter } from './outbound-router.js';
-import type { Refusal, RefusalReason } from './refusal.js';
+import { QUARANTINED_RETRY_AFTER_SECONDS, type Refusal, type RefusalReason } from './refusal.js';
 import type { IngressRecord, RequestJournal } from './request-journal.js';
 import { StopPhase, type StopProgress } from './stop-phase.js';
 import { boundedByStop, ingressTakes } from './stop-policy.js';
@@ -53,8 +55,16 @@
   readonly fractionalRetryAfter: boolean;
   /** Routes whose calls are made by targets, as gates have said. */
   readonly nestedRoutes: NestedRoutes;
+  /** Whether the request with this fingerprint is kept from targets. */
+  readonly isQuarantined: (fingerprint: string) => boolean;
 }
 
+const QUARANTINED: Refusal = {
+  reason: 'quarantined',
+  verdict: 'not-run',
+  retryAfterSeconds: QUARANTINED_RETRY_AFTER_SECONDS,
+  detail: 'Targets crash under the request.',
+};
 const STATUS_HEADERS_TOO_LARGE = 431;
 /** Bytes of a header line besides name and value: colon, space, line end. */
 const HEADER_LINE_BYTES = 4;
@@ -146,7 +156,7 @@
 class IngressExchange {
   private readonly startedAt: number;
   private readonly service: string;
-  private readonly context: CallContext;
+  private context: CallContext;
   private call: OutboundCall | undefined;
   private readonly message: IncomingMessage;
   private readonly response: ServerResponse;
@@ -208,7 +218,13 @@
   private send(body: RequestBody): void {
     // A request that was told that it has not run is not sent on when the rest of its body arrives.
     if (this.response.headersSent) return;
-    const { router, transport, nestedRoutes } = this.options;
+    const { router, transport, nestedRoutes, isQuarantined } = this.options;
+    const fingerprint = this.fingerprint(body);
+    if (isQuarantined(fingerprint)) {
+      this.refuse(QUARANTINED);
+      return;
+    }
+    this.context = { ...this.context, fingerprint };
     const { context, route, service } = this;
     this.call = router.call(
       service,
@@ -218,6 +234,20 @@
     );
   }
 
+  private fingerprint(body: RequestBody): string {
+    const { message, service } = this;
+    const isWhole = body.content === body.start;
+    return fingerprintOf({
+      service,
+      callingService: this.options.transport.callingService(),
+      method: message.method ?? '',
+      host: message.headers.host ?? '',
+      path: message.url ?? '',
+      streamedLength: isWhole ? undefined : message.headers['content-length'],
+      bodyStart: body.start,
+    });
+  }
+
   private onClose(): void {
     this.options.stats.onFinish();
     if (this.response.writableFinished) return;
@@ -272,6 +302,7 @@
       revision: this.request.revision,
       heldMs: Math.round(this.options.clock.now() - this.startedAt),
       attempts: this.call?.attempted ?? [],
+      fingerprint: this.context.fingerprint,
     };
   }
 }
--- a/src/call/node-outbound-server.ts
+++ b/src/call/node-outbound-server.ts
@@ -15,7 +15,7 @@
 import type { InboundCall } from './inbound-call.js';
 import type { InboundRegistry } from './inbound-registry.js';
 import { UNATTRIBUTED_GROUP, UNKNOWN_KIND } from './node-inbound-server.js';
-import type { OutboundResult } from './outbound-call.js';
+import type { OutboundResult } from './outbound-request.js';
 import type { OutboundRouter } from './outbound-router.js';
 import type { Refusal } from './refusal.js';
 import { requestPath } from './request-target.js';
--- a/src/call/outbound-call.ts
+++ b/src/call/outbound-call.ts
@@ -2,17 +2,22 @@
  * One call from an edge or a node to a service: early refusal, choice of the endpoint, deadline,
  * retries. Pure: transport, clock and random source are injected.
  */
-import type { Clock, Timer } from '../common/clock.js';
+import type { Timer } from '../common/clock.js';
 import { combineVerdicts, type Verdict } from '../common/verdict.js';
-import type { CallThrottle } from '../admission/call-throttle.js';
 import { RepeatRoom } from '../retry/repeat-room.js';
-import type { RetryAllowance, RetryLoan } from '../retry/retry-allowance.js';
-import type { RetryCredit } from '../retry/retry-budget.js';
+import type { RetryLoan } from '../retry/retry-allowance.js';
 import { decideRetry, type FailedAttempt } from '../retry/retry-policy.js';
 import type { EndpointRecord, EndpointResult } from '../routing/endpoint.js';
-import type { Balancer, EndpointPick } from '../routing/balancer.js';
-import type { Outcome } from './outcome.js';
-import type { Refusal } from './refusal.js';
+import type { EndpointPick } from '../routing/balancer.js';
+import { isDangerousAfter, isTargetDown, resultOf } from './attempt-end.js';
+import type {
+  OutboundListener,
+  OutboundRequest,
+  OutboundResult,
+  OutboundServices,
+} from './outbound-request.js';
+import { CrashNote, type Outcome } from './outcome.js';
+import { QUARANTINED_RETRY_AFTER_SECONDS, type Refusal } from './refusal.js';
 import type {
   AnswerHead,
   Attempt,
@@ -21,64 +26,6 @@
   OutboundTransport,
 } from './transport.js';
 
-/** What a call asks for. */
-export interface OutboundRequest {
-  /** Kind and group: calls that share their fate under overload. */
-  readonly lane: string;
-  readonly repeatable: boolean;
-  /** Monotonic milliseconds. */
-  readonly deadlineAt: number;
-  /** Retries allowed for each first attempt of this process, 0 to 1. */
-  readonly retryRatio: number;
-  readonly allowance: RetryAllowance;
-  /** Other targets to try after one has refused for overload. Default 0. */
-  readonly overloadReroutes?: number;
-  /** Whether the call may be refused early, from what callees refuse. Default true. */
-  readonly throttled?: boolean;
-  /**
-   * Multiple of the lane's usual latency after which an attempt that may be repeated is given up for
-   * another target, at the cost of a retry: its answer may be lost. Default: never.
-   */
-  readonly overdueFactor?: number;
-}
-
-/** What a call works with. Shared by the calls of one process to one service. */
-export interface OutboundServices {
-  readonly clock: Clock;
-  readonly throttle: CallThrottle;
-  readonly budget: RetryCredit;
-  readonly balancer: Balancer;
-}
-
-/** How a call ended. */
-export type OutboundResult =
-  /** A back end's answer was passed on whole. */
-  | {
-      readonly type: 'relayed';
-      readonly overloaded: boolean;
-      /** Part of the calls below that are held up, as the callee told it; 0 where it told nothing. */
-      readonly congestion: number;
-      /** Whether targets make calls like this one; undefined where no gate has answered. */
-      readonly nested: boolean | undefined;
-      /** Which repeats the callee that answered last would let through; all where none answered. */
-      readonly repeatRoom: RepeatRoom;
-    }
-  /** An answer had begun and broke off: the caller must see it as broken. */
-  | { readonly type: 'broken'; readonly verdict: Verdict }
-  /** No answer; the caller gets this refusal. */
-  | {
-      readonly type: 'refused';
-      readonly refusal: Refusal;
-      readonly overloaded: boolean;
-      readonly congestion: number;
-      /** Whether targets make calls like this one; undefined where no gate has answered. */
-      readonly nested: boolean | undefined;
-      readonly repeatRoom: RepeatRoom;
-    };
-
-/** Hears the one result of a call. */
-export type OutboundListener = (result: OutboundResult) => void;
-
 /** An attempt is not overdue before this time, in milliseconds: short latencies vary by more. */
 const MIN_OVERDUE_MS = 60;
 /** Part of the time left after which giving up an attempt for another one is of no use. */
@@ -299,13 +246,15 @@
   /** The node answered itself. */
   private onNodeRefusal(outcome: Outcome): void {
     const endpoint = this.latest?.pick?.endpoint;
-    this.endPick(outcome.refusal === 'unreachable' ? 'failed' : 'answered', outcome);
+    this.endPick(resultOf(outcome), outcome);
     this.learnRefusal(endpoint, outcome);
-    this.continueAfter(outcome, () => this.passOnRefusal(outcome));
+    const isDangerous = isDangerousAfter(outcome);
+    this.continueAfter({ ...outcome, isDangerous }, () => this.passOnRefusal(outcome));
   }
 
   private learnRefusal(endpoint: EndpointRecord | undefined, outcome: Outcome): void {
-    if (outcome.refusal === 'leaving' && endpoint !== undefined) {
+    const isGone = outcome.refusal === 'leaving' || isTargetDown(outcome);
+    if (isGone && endpoint !== undefined) {
       this.services.balancer.markLeaving(endpoint);
     }
     this.verdict = combineVerdicts(this.verdict, outcome.verdict);
@@ -314,6 +263,10 @@
   }
 
   private passOnRefusal(outcome: Outcome): void {
+    if (outcome.crashNote === CrashNote.Quarantined) {
+      this.refuse('quarantined', 'Targets crash under the request.');
+      return;
+    }
     const reason = outcome.refusal ?? 'overload';
     this.refuse(reason, 'The node of the target refused the call.');
   }
@@ -420,6 +373,7 @@
 
   private retryAfterSeconds(reason: Refusal['reason']): number {
     if (reason === 'bad-request' || reason === 'duplicate') return 0;
+    if (reason === 'quarantined') return QUARANTINED_RETRY_AFTER_SECONDS;
     if (reason !== 'overload') return BUSY_RETRY_AFTER_SECONDS;
     const pressure = this.services.throttle.pressure(this.request.lane, this.services.clock.now());
     return Math.min(MAX_RETRY_AFTER_SECONDS, Math.ceil(pressure));
--- a/src/call/outbound-router.ts
+++ b/src/call/outbound-router.ts
@@ -5,7 +5,8 @@
 import type { RandomSource } from '../common/random.js';
 import { CALLEES_DECIDE, RetryBudget, type RetryCredit } from '../retry/retry-budget.js';
 import type { ServiceDirectory } from '../routing/service-directory.js';
-import { OutboundCall, type OutboundListener, type OutboundRequest } from './outbound-call.js';
+import { OutboundCall } from './outbound-call.js';
+import type { OutboundListener, OutboundRequest } from './outbound-request.js';
 import type { OutboundTransport } from './transport.js';
 
 /** What a router is made of. */
--- a/src/call/outcome.ts
+++ b/src/call/outcome.ts
@@ -17,6 +17,16 @@
   readonly repeatRoom?: RepeatRoom;
 }
 
+/** What a gate says of crashes with a call that its target did not answer. */
+export enum CrashNote {
+  /** The target is down, and so is the endpoint until its next incarnation. */
+  TargetDown = 'target-down',
+  /** The same, and the request may be the cause: it is not to be sent to another target. */
+  Suspect = 'suspect',
+  /** The request is in quarantine: it was not begun, and no target is to get it. */
+  Quarantined = 'quarantined',
+}
+
 /** The outcome of a call at the node that handled it. */
 export interface Outcome {
   readonly verdict: Verdict;
@@ -33,6 +43,8 @@
    * counts as a retry. Default false.
    */
   readonly rejectedByTarget?: boolean;
+  /** Set where a crash of the target, or the fear of one, decided the call. Told by sidecars. */
+  readonly crashNote?: CrashNote;
   /** Retries given back to the caller. */
   readonly unspentRetries: number;
   readonly load: LoadReport | undefined;
--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -21,7 +21,12 @@
   | 'bad-request'
   | 'too-large'
   | 'request-timeout'
-  | 'not-ready';
+  | 'not-ready'
+  /** Targets crash under the request. */
+  | 'quarantined';
+
+/** First term of a quarantine, in seconds: no invitation to try again before. */
+export const QUARANTINED_RETRY_AFTER_SECONDS = 600;
 
 /** A final answer by shoredoor itself. */
 export interface Refusal {
@@ -55,6 +60,7 @@
   'too-large': { status: 413, title: 'Request body too large' },
   'request-timeout': { status: 408, title: 'Request body too slow' },
   'not-ready': { status: 503, title: 'Not ready' },
+  quarantined: { status: 503, title: 'Request kept from targets' },
 };
 
 const STATUS_UNAVAILABLE = 503;
--- a/src/call/request-journal.ts
+++ b/src/call/request-journal.ts
@@ -22,6 +22,8 @@
   readonly heldMs: number;
   /** Nodes that the request was sent to, in order. */
   readonly attempts: readonly string[];
+  /** Names the request whenever it comes again; undefined until its body has been read. */
+  readonly fingerprint: string | undefined;
 }
 
 export class RequestJournal {
@@ -74,7 +76,7 @@
     cause?: string,
   ): void {
     if (!this.hasRoom()) return;
-    const { requestId, kind, importance } = context;
+    const { requestId, kind, importance, fingerprint } = context;
     const heldMs = Math.round(this.clock.now() - startedAt);
     this.logger.info('A call was not answered.', {
       requestId,
@@ -84,6 +86,7 @@
       verdict,
       heldMs,
       cause,
+      fingerprint,
     });
   }
 
--- a/src/control/follower-api.ts
+++ b/src/control/follower-api.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../common/clock.js';
 import type { BodyLimits } from '../http/request-body.js';
+import type { CrashEvidence } from '../quarantine/crash-evidence.js';
 import type { ChangeNotifier } from './change-notifier.js';
 import type { CommandLog } from './command-log.js';
 import { isLinkRequest, readMessage, writeMessage, writeStatus } from '../http/link-messages.js';
@@ -16,6 +17,7 @@
   readonly clock: Clock;
   readonly store: ResourceStore;
   readonly members: MemberTable;
+  readonly evidence: CrashEvidence;
   readonly log: CommandLog;
   readonly notifier: ChangeNotifier;
   readonly linkToken: string;
@@ -54,12 +56,14 @@
       writeStatus(response, STATUS_BAD_REQUEST);
       return;
     }
-    const { members, clock, store, notifier, log, responder } = this.options;
+    const { members, clock, store, notifier, log, responder, evidence } = this.options;
     const { problem, origins } = log.status();
     const isCurrent = problem === undefined;
     const versionBefore = members.endpointVersion;
     const reply = members.onHeartbeat(heartbeat, clock.now(), store.revision, isCurrent, origins);
-    if (members.endpointVersion !== versionBefore) notifier.notify();
+    const { crashNews } = heartbeat;
+    const hasCrashNews = crashNews !== undefined && evidence.onNews(crashNews);
+    if (members.endpointVersion !== versionBefore || hasCrashNews) notifier.notify();
     writeMessage(
       response,
       reply.type === 'ok' ? { ...reply, endpoints: responder.endpointPosition } : reply,
--- a/src/control/member-table.ts
+++ b/src/control/member-table.ts
@@ -3,6 +3,7 @@
  * heartbeats, which every process sends to every replica, so it needs no agreement and survives the
  * loss of any replica.
  */
+import type { CrashNews } from '../quarantine/crash-report.js';
 import type { EndpointRecord, EndpointState } from '../routing/endpoint.js';
 import type { EndpointPosition } from './sync-protocol.js';
 
@@ -22,6 +23,8 @@
   readonly appliedRevision: number;
   /** Epoch of its service's claim view that a node has taken over in full; 0 for edges. */
   readonly claimEpoch: number;
+  /** Crashes of targets; absent where there are none. */
+  readonly crashNews?: CrashNews | undefined;
 }
 
 /** The answer to a heartbeat. */
@@ -113,7 +116,7 @@
         return { type: 'ok', revision, isCurrent, controlOrigins };
     }
     this.returning.delete(heartbeat.id);
-    this.members.set(heartbeat.id, { ...heartbeat, heardAt: now });
+    this.members.set(heartbeat.id, { ...heartbeat, crashNews: undefined, heardAt: now });
     this.refreshEndpoint(heartbeat.id);
     return { type: 'ok', revision, isCurrent, controlOrigins };
   }
--- a/src/control/resource-api.ts
+++ b/src/control/resource-api.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '../observe/logger.js';
 import {
   DECLARED_KINDS,
+  DELETABLE_KINDS,
   RESOURCE_KINDS,
   resourceFaults,
   parseResource,
@@ -141,12 +142,16 @@
   }
 
   private async delete(request: ApiRequest, id: ResourceId): Promise<void> {
-    if (!this.mayWrite(request, id)) return;
+    if (!this.mayWrite(request, id, DELETABLE_KINDS)) return;
     await this.change(request, (base) => ({ ...base, type: 'delete', target: id }));
   }
 
-  private mayWrite(request: ApiRequest, id: ResourceId): boolean {
-    const isDeclared = DECLARED_KINDS.includes(id.kind);
+  private mayWrite(
+    request: ApiRequest,
+    id: ResourceId,
+    kinds: readonly ResourceKind[] = DECLARED_KINDS,
+  ): boolean {
+    const isDeclared = kinds.includes(id.kind);
     if (isDeclared && allows(request.holder.role, 'write')) return true;
     const detail = isDeclared
       ? 'The token allows reading only.'
--- a/src/control/sync-protocol.ts
+++ b/src/control/sync-protocol.ts
@@ -4,6 +4,7 @@
  * something new, so its cost follows changes and not the size of the fleet.
  */
 import type { EndpointRecord } from '../routing/endpoint.js';
+import type { SuspectList } from '../quarantine/crash-report.js';
 import type { EndpointChange } from './member-table.js';
 import type { ResourceChange, StoredResource } from './resource-store.js';
 
@@ -30,6 +31,8 @@
   /** Replica and its incarnation that `endpointVersion` counts at. */
   readonly endpointSource: string;
   readonly endpointVersion: number;
+  /** Version of that replica's list of suspects; absent from processes that do not know it. */
+  readonly suspectVersion?: number;
 }
 
 /** News for a follower. */
@@ -44,4 +47,6 @@
   /** All endpoints, when the follower has none from this source or is too far behind. */
   readonly endpoints: readonly EndpointRecord[] | undefined;
   readonly endpointChanges: readonly EndpointChange[];
+  /** Requests under which targets have crashed; absent where the follower has this list. */
+  readonly suspects?: SuspectList;
 }
--- a/src/control/sync-responder.ts
+++ b/src/control/sync-responder.ts
@@ -1,5 +1,6 @@
 /** What a control replica tells a follower, and whether it has anything to tell. Pure. */
 import type { Clock } from '../common/clock.js';
+import type { CrashEvidence } from '../quarantine/crash-evidence.js';
 import type { MemberTable } from './member-table.js';
 import type { ResourceStore } from './resource-store.js';
 import type { ConfigurationNews, EndpointNews } from './sync-codec.js';
@@ -17,6 +18,7 @@
     private readonly store: ResourceStore,
     private readonly members: MemberTable,
     private readonly sourceId: string,
+    private readonly evidence: CrashEvidence,
   ) {}
 
   /** Where this replica's endpoint list stands. */
@@ -37,7 +39,7 @@
     const { store, members, sourceId } = this;
     if (store.revision > request.revision) return true;
     if (request.endpointSource === sourceId) {
-      return members.endpointVersion !== request.endpointVersion;
+      return members.endpointVersion !== request.endpointVersion || this.hasSuspectNews(request);
     }
     return this.mayListEndpoints(request);
   }
@@ -51,6 +53,10 @@
     return request.endpointSource === '' || members.isComplete(clock.now());
   }
 
+  private hasSuspectNews({ suspectVersion }: SyncRequest): boolean {
+    return suspectVersion !== undefined && suspectVersion !== this.evidence.suspectVersion;
+  }
+
   /** Everything that the follower does not have. */
   buildResponse(request: SyncRequest): SyncResponse {
     return { ...this.configurationNews(request), ...this.endpointNews(request) };
@@ -76,8 +82,12 @@
 
   /** What the follower does not have of the endpoints. */
   endpointNews(request: SyncRequest): EndpointNews {
-    const { members, sourceId } = this;
-    const news = { endpointSource: sourceId, endpointVersion: members.endpointVersion };
+    const { members, sourceId, evidence } = this;
+    const news = {
+      endpointSource: sourceId,
+      endpointVersion: members.endpointVersion,
+      suspects: evidence.suspectList(),
+    };
     if (request.endpointSource === sourceId) {
       const endpointChanges = members.endpointChangesSince(request.endpointVersion);
       if (endpointChanges !== undefined) return { ...news, endpoints: undefined, endpointChanges };
--- a/src/follower/configuration-view.ts
+++ b/src/follower/configuration-view.ts
@@ -16,6 +16,7 @@
   type ResourceId,
   type StoredResource,
 } from '../control/resource-store.js';
+import { NO_SUSPECTS, type SuspectList } from '../quarantine/crash-report.js';
 import { PolicyTable } from '../policy/policy-table.js';
 import type { Resource } from '../policy/resource-schema.js';
 import type { EndpointRecord } from '../routing/endpoint.js';
@@ -24,6 +25,7 @@
 export interface ViewUpdate {
   readonly configurationChanged: boolean;
   readonly endpointsChanged: boolean;
+  readonly suspectsChanged: boolean;
 }
 
 export class ConfigurationView {
@@ -33,6 +35,7 @@
   private revision = 0;
   private endpointSource = '';
   private endpointVersion = 0;
+  private suspectList = NO_SUSPECTS;
 
   /** The compiled policy in force; undefined until a first answer was applied. */
   get table(): PolicyTable | undefined {
@@ -71,12 +74,18 @@
     return endpoints.version > this.endpointVersion;
   }
 
+  /** Requests under which targets have crashed, as the followed replica knows them. */
+  get suspects(): SuspectList {
+    return this.suspectList;
+  }
+
   /** What to ask for next. */
   request(): SyncRequest {
     return {
       revision: this.currentTable === undefined ? NO_REVISION : this.revision,
       endpointSource: this.endpointSource,
       endpointVersion: this.endpointVersion,
+      suspectVersion: this.suspectList.version,
     };
   }
 
@@ -85,6 +94,7 @@
     return {
       configurationChanged: this.applyConfiguration(response),
       endpointsChanged: this.applyEndpoints(response),
+      suspectsChanged: this.applySuspects(response),
     };
   }
 
@@ -121,6 +131,12 @@
     return true;
   }
 
+  private applySuspects({ suspects }: SyncResponse): boolean {
+    if (suspects === undefined) return false;
+    this.suspectList = suspects;
+    return true;
+  }
+
   private applyEndpoints(response: SyncResponse): boolean {
     const { endpoints, endpointChanges } = response;
     if (endpoints !== undefined) {
--- a/src/follower/follower.ts
+++ b/src/follower/follower.ts
@@ -37,6 +37,8 @@
   readonly identity: () => Omit<Heartbeat, 'state' | 'appliedRevision'>;
   readonly onConfiguration: (view: ConfigurationView) => void;
   readonly onEndpoints: (view: ConfigurationView) => void;
+  /** The list of requests under which targets have crashed may be another one. */
+  readonly onSuspects?: (view: ConfigurationView) => void;
   /** Another process with the same id is newer. */
   readonly onSuperseded: () => void;
 }
@@ -99,9 +101,12 @@
     await this.sendHeartbeats();
   }
 
-  /** Whether the process takes new work; a change is announced at once. */
-  announce(state: EndpointState): void {
-    if (this.stopped || this.state === state) return;
+  /**
+   * Whether the process takes new work; a change is announced at once.
+   * @param isOther whether something else about the process has changed with it
+   */
+  announce(state: EndpointState, isOther = false): void {
+    if (this.stopped || (this.state === state && !isOther)) return;
     this.state = state;
     void this.sendHeartbeats();
   }
@@ -247,6 +252,7 @@
       void this.sendHeartbeats();
     }
     if (update.endpointsChanged) this.options.onEndpoints(this.view);
+    if (update.suspectsChanged) this.options.onSuspects?.(this.view);
   }
 }
 
--- a/src/http/request-body.ts
+++ b/src/http/request-body.ts
@@ -25,6 +25,8 @@
 export interface RequestBody {
   /** What undici sends: nothing, the whole body, or a stream that can be read once. */
   readonly content: Buffer | Readable | null;
+  /** The whole body, or the part of a streamed one that is held in memory; null for none. */
+  readonly start: Buffer | null;
   readonly replayable: boolean;
 }
 
@@ -34,7 +36,7 @@
 /** Hears either a body or a fault. */
 export type BodyCallback = (body: RequestBody | undefined, fault: BodyFault | undefined) => void;
 
-const NO_BODY: RequestBody = { content: null, replayable: true };
+const NO_BODY: RequestBody = { content: null, start: null, replayable: true };
 
 /** Reads the body of `message` as far as it is held in memory, then calls back once. */
 export function readRequestBody(
@@ -82,12 +84,15 @@
     if (this.size <= this.limits.bufferBytes) return;
     this.message.pause();
     const content = Readable.from(this.remaining(), { objectMode: false });
-    this.finish({ content, replayable: false }, undefined);
+    // The same bytes however the body was cut on its way.
+    const start = Buffer.concat(this.chunks).subarray(0, this.limits.bufferBytes);
+    this.finish({ content, start, replayable: false }, undefined);
   };
 
   private readonly onEnd = (): void => {
     const only = this.chunks.length === 1 ? this.chunks[0] : undefined;
-    this.finish({ content: only ?? Buffer.concat(this.chunks), replayable: true }, undefined);
+    const content = only ?? Buffer.concat(this.chunks);
+    this.finish({ content, start: content, replayable: true }, undefined);
   };
 
   private readonly onClose = (): void => this.finish(undefined, 'caller-gone');
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -4,7 +4,7 @@
  * and many short texts cost more processor time than all else about a frame (docs/design/platform.md).
  */
 import { Packr } from 'msgpackr';
-import type { Outcome } from '../call/outcome.js';
+import type { CrashNote, Outcome } from '../call/outcome.js';
 import type { Verdict } from '../common/verdict.js';
 import type { RefusalReason } from '../call/refusal.js';
 import type { RawHeaders } from '../http/header-filter.js';
@@ -47,6 +47,8 @@
   congestion: number | null,
   rejectedByTarget: boolean,
   repeatRoom: RepeatRoom,
+  /** Absent in frames of processes that do not know it. */
+  crashNote?: CrashNote | null,
 ];
 
 /** The fields of a call behind its lines. */
@@ -62,10 +64,12 @@
   body: unknown,
   /** Absent in frames of processes that do not know it. */
   answerMarginMs?: number,
+  /** Absent in frames of processes that do not know it. */
+  fingerprint?: string,
 ];
 
 /** The last fields of a call. */
-type BodyFields = [form: BodyForm, body: unknown, answerMarginMs?: number];
+type BodyFields = [form: BodyForm, body: unknown, answerMarginMs?: number, fingerprint?: string];
 
 /** Place of the form of the body among the numbers of a call. */
 const BODY_FORM_FIELD = 7;
@@ -211,6 +215,7 @@
     bodyFormOf(body),
     body ?? null,
     context.answerMarginMs,
+    context.fingerprint,
   ];
 }
 
@@ -223,7 +228,8 @@
   const lines = (fields[CALL_LINES_FIELD] as string).split(LINE_END);
   const numbers = fields.slice(CALL_LINES_FIELD + 1) as CallNumbers;
   const [importance, deadlineMs, waitMs, objectiveMs, retries, isRepeat, inherited] = numbers;
-  const [form, bytes, answerMarginMs = 0] = numbers.slice(BODY_FORM_FIELD) as BodyFields;
+  const rest = numbers.slice(BODY_FORM_FIELD) as BodyFields;
+  const [form, bytes, answerMarginMs = 0, fingerprint = ''] = rest;
   const [requestId, kind, service, method, path] = lines as [
     string,
     string,
@@ -246,6 +252,7 @@
       isRepeat,
       inheritedShare: inherited / PERCENT,
       answerMarginMs,
+      fingerprint,
     },
     method,
     path,
@@ -282,15 +289,17 @@
     congestion ?? null,
     isRejectedByTarget,
     load?.repeatRoom ?? RepeatRoom.Runs,
+    outcome.crashNote ?? null,
   ];
 }
 
 function outcomeOf(fields: OutcomeFields): Outcome {
   const [verdict, refusal, overloaded, nested, unspentRetries, inFlight, limit] = fields;
-  const [congestion, rejectedByTarget, repeatRoom] = fields.slice(CONGESTION_FIELD) as [
+  const [congestion, rejectedByTarget, repeatRoom, crashNote] = fields.slice(CONGESTION_FIELD) as [
     number | null,
     boolean,
     RepeatRoom,
+    CrashNote | null | undefined,
   ];
   return {
     verdict,
@@ -301,6 +310,7 @@
     load: inFlight === null || limit === null ? undefined : { inFlight, limit, repeatRoom },
     ...(congestion !== null && { congestion }),
     ...(rejectedByTarget && { rejectedByTarget }),
+    ...(typeof crashNote === 'string' && { crashNote }),
   };
 }
 
--- a/src/link/link-frames.ts
+++ b/src/link/link-frames.ts
@@ -29,6 +29,8 @@
   readonly inheritedShare: number;
   /** Time in milliseconds before the deadline at which the target is to stop, so that its own answer arrives. */
   readonly answerMarginMs: number;
+  /** Names the request whenever it comes again; empty from processes that do not tell it. */
+  readonly fingerprint: string;
 }
 
 /** Begins a call. */
--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -46,6 +46,8 @@
   private readonly ended = new Set<string>();
   /** Fell silent while another one reported. Reports of theirs may be late, or they may be back. */
   private readonly replaced = new Set<string>();
+  /** Refused connections, with the sequence of their last report: late reports do not bring them back. */
+  private readonly down = new Map<string, number>();
 
   /**
    * @param silentMs a target that was not heard of for this long is not used
@@ -78,6 +80,7 @@
   /** Takes a report. */
   onReport(report: TargetReport): void {
     if (this.ended.has(report.instance)) return;
+    if (report.sequence <= (this.down.get(report.instance) ?? -1)) return;
     const { held } = this;
     if (held === undefined || held.report.instance === report.instance) this.renew(report);
     else if (this.replaced.has(report.instance) && this.current !== undefined) return;
@@ -92,6 +95,21 @@
     this.onChange();
   }
 
+  /**
+   * The incarnation refuses connections: it is not used until it, or another one, reports. Waiting for its lease to run out
+   * cost 3 s in which calls were sent to it.
+   */
+  onDown(instance: string): void {
+    const { held } = this;
+    if (held?.report.instance !== instance) return;
+    this.down.set(instance, held.report.sequence);
+    const [oldest] = this.down.keys();
+    if (this.down.size > MAX_REMEMBERED && oldest !== undefined) this.down.delete(oldest);
+    this.held = undefined;
+    this.candidate = undefined;
+    this.onChange();
+  }
+
   /** The incarnation has said that it is gone. */
   onLeave(instance: string): void {
     this.end(instance);
--- a/src/policy/policy-table.ts
+++ b/src/policy/policy-table.ts
@@ -11,6 +11,7 @@
   DEFAULT_SERVICE_SPEC,
   type KindDeclaration,
   type PolicyResource,
+  type QuarantineResource,
   type Resource,
   type ServiceResource,
   type ServiceSpec,
@@ -52,6 +53,7 @@
   private readonly kindsByName = new Map<string, RequestKind>();
   private readonly routesByMethod = new Map<string, KindPattern[]>();
   private readonly servicesByName = new Map<string, ServiceSpec>();
+  private readonly quarantines = new Map<string, QuarantineResource['spec']>();
   private defaultGroup: Group | undefined;
   private declaredShare = 0;
   /** The routes of the declared set. */
@@ -72,6 +74,7 @@
       if (resource.kind === 'Policy') this.addPolicy(resource);
       if (resource.kind === 'Service') this.addService(resource);
       if (resource.kind === 'Route') routes.push(resource);
+      if (resource.kind === 'Quarantine') this.quarantines.set(resource.name, resource.spec);
       if (resource.kind === 'Ingress') ingress = resource;
     }
     this.routes = new RouteTable(routes);
@@ -144,6 +147,16 @@
     return this.declaredShare + UNKNOWN_GROUP_SHARE;
   }
 
+  /** The quarantine of the request with this fingerprint, in force or ended lately. */
+  quarantine(fingerprint: string): QuarantineResource['spec'] | undefined {
+    return this.quarantines.get(fingerprint);
+  }
+
+  /** Number of requests that are kept from targets. */
+  get quarantineCount(): number {
+    return [...this.quarantines.values()].filter(({ inForce }) => inForce).length;
+  }
+
   /** Settings of the service's targets; defaults when none are declared. */
   serviceSpec(service: string): ServiceSpec {
     return this.servicesByName.get(service) ?? DEFAULT_SERVICE_SPEC;
--- a/src/policy/resource-schema.ts
+++ b/src/policy/resource-schema.ts
@@ -140,11 +140,29 @@
   }),
 });
 
+/**
+ * A request that is kept from targets because it crashes them, named by its fingerprint. Declared by control itself:
+ * operators read and delete it, and can't change it.
+ */
+export const quarantineResourceSchema = z.strictObject({
+  kind: z.literal('Quarantine'),
+  name: nameSchema,
+  spec: z.strictObject({
+    /** False once its time is over: the request runs again, and the next crash under it renews the quarantine. */
+    inForce: z.boolean(),
+    /** Wall-clock milliseconds of the leader at which this state ends. */
+    until: z.number().int(),
+    /** Times that it has been put in force. */
+    terms: z.number().int().min(1),
+  }),
+});
+
 /** Any resource. */
 export const resourceSchema = z.discriminatedUnion('kind', [
   policyResourceSchema,
   serviceResourceSchema,
   claimViewResourceSchema,
+  quarantineResourceSchema,
   routeResourceSchema,
   ingressResourceSchema,
 ]);
@@ -153,6 +171,7 @@
 export type ServiceResource = z.infer<typeof serviceResourceSchema>;
 export type ServiceSpec = ServiceResource['spec'];
 export type ClaimViewResource = z.infer<typeof claimViewResourceSchema>;
+export type QuarantineResource = z.infer<typeof quarantineResourceSchema>;
 export type Resource = z.infer<typeof resourceSchema>;
 export type ResourceKind = Resource['kind'];
 export type KindDeclaration = PolicyResource['spec']['kinds'][number];
@@ -161,10 +180,14 @@
 /** The resource kinds that operators declare, in the order in which a directory is applied. */
 export const DECLARED_KINDS: readonly ResourceKind[] = ['Service', 'Policy'];
 
+/** The resource kinds that operators may delete: a quarantine that keeps a sound request from targets, too. */
+export const DELETABLE_KINDS: readonly ResourceKind[] = [...DECLARED_KINDS, 'Quarantine'];
+
 /** All resource kinds. */
 export const RESOURCE_KINDS: readonly ResourceKind[] = [
   ...DECLARED_KINDS,
   'ClaimView',
+  'Quarantine',
   'Route',
   'Ingress',
 ];
--- a/src/programs/control-program.ts
+++ b/src/programs/control-program.ts
@@ -2,6 +2,8 @@
 import { AccessTokens } from '../control/access-tokens.js';
 import { ChangeNotifier } from '../control/change-notifier.js';
 import { ClaimViewKeeper } from '../control/claim-view-keeper.js';
+import { QuarantineKeeper } from '../control/quarantine-keeper.js';
+import { CrashEvidence } from '../quarantine/crash-evidence.js';
 import { DECLARATIONS_PATH, DeclarationApi } from '../control/declaration-api.js';
 import { PLAIN_DECLARATION_CODEC, type DeclarationCodec } from '../control/declaration-codec.js';
 import { DeclarationService } from '../control/declaration-service.js';
@@ -35,6 +37,8 @@
 import { delay, within, type Program } from './program.js';
 
 const EXPIRE_INTERVAL_MS = 500;
+/** Part of the 3 s from the third crash under a request until all processes keep it from targets. */
+const QUARANTINE_CHECK_INTERVAL_MS = 100;
 /** A replica that stops answers this long, so that clients are told to ask another. */
 const STOP_LINGER_MS = 200;
 const STOP_TIMEOUT_MS = 1_000;
@@ -62,6 +66,14 @@
   const log = new ReplicatedCommandLog(clock, host);
   const receiver = new ReplicationReceiver(host, settings.linkToken);
   const claimViews = new ClaimViewKeeper(clock, store, members, log, () => Date.now());
+  const evidence = new CrashEvidence(clock);
+  const quarantines = new QuarantineKeeper({
+    store,
+    log,
+    evidence,
+    wallClock: () => Date.now(),
+    logger: logger.part('quarantine'),
+  });
   const platformList = createPlatformListReader(settings, clock, members, notifier, logger);
   const status = (): StatusReport =>
     buildStatusReport(settings.id, log.status(), store.revision, members.list());
@@ -86,10 +98,11 @@
     clock,
     store,
     members,
+    evidence,
     log,
     notifier,
     linkToken: settings.linkToken,
-    responder: new SyncResponder(clock, store, members, `${settings.id}@${Date.now()}`),
+    responder: new SyncResponder(clock, store, members, `${settings.id}@${Date.now()}`, evidence),
   });
   const server = await ListeningServer.start(settings.listen, (message, response) => {
     routeTo(message.url ?? '', { receiver, followerApi, declarationApi, resourceApi })
@@ -115,6 +128,7 @@
     if (members.endpointVersion !== versionBefore) notifier.notify();
     if (settings.claims) claimViews.check();
   }, EXPIRE_INTERVAL_MS);
+  const quarantineCheck = setInterval(() => quarantines.check(), QUARANTINE_CHECK_INTERVAL_MS);
   host.start();
   platformList?.start();
   logger.info('Listening.', { origin: server.origin, admin: admin.origin });
@@ -123,6 +137,7 @@
     origins: { listen: server.origin, admin: admin.origin },
     stop: async () => {
       clearInterval(expiry);
+      clearInterval(quarantineCheck);
       platformList?.stop();
       watches.close();
       await log.close();
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -3,14 +3,14 @@
  * parts together and stops them in order.
  */
 import type { Registry } from 'prom-client';
-import { AdmissionController } from '../admission/admission-controller.js';
+import type { AdmissionController } from '../admission/admission-controller.js';
 import { CongestionLevel } from '../admission/congestion-level.js';
 import { KindImpact } from '../admission/kind-impact.js';
 import { KindLimiter } from '../admission/kind-limiter.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
 import { CallDurations } from '../call/call-durations.js';
 import { CallStats } from '../call/call-stats.js';
-import { GATE_SHARING, QUEUE_WAIT_MS, SLOT_FRACTION } from '../call/gate-policy.js';
+import { SLOT_FRACTION } from '../call/gate-policy.js';
 import { GateServer } from '../call/gate-server.js';
 import { IngressServer } from '../call/ingress-server.js';
 import { OutboundRouter } from '../call/outbound-router.js';
@@ -28,6 +28,7 @@
 import { replacedHeaders } from '../link/peer-transport.js';
 import { DEFAULT_TARGET_HEADERS, type TargetHeaders } from '../http/target-headers.js';
 import { RegistrationApi } from '../membership/registration-api.js';
+import { refusesConnections } from '../membership/port-probe.js';
 import { TargetLease } from '../membership/target-lease.js';
 import { probeTarget } from '../membership/target-probe.js';
 import { startAdminServer } from '../observe/admin-server.js';
@@ -35,16 +36,18 @@
 import { createNodeMetrics } from '../observe/node-metrics.js';
 import { registerRetryMetrics } from '../observe/retry-metrics.js';
 import { IMPORTANCE_COUNT } from '../policy/importance.js';
+import { CrashGuard } from '../quarantine/crash-guard.js';
 import { RepeatedRuns } from '../retry/repeated-runs.js';
 import { ServiceRetryBudget } from '../retry/service-retry-budget.js';
 import { EMPTY_POLICY_TABLE, type PolicyTable } from '../policy/policy-table.js';
 import { NestedRoutes } from '../routing/nested-routes.js';
 import { OriginTracker } from '../routing/origin-tracker.js';
-import { ServiceDirectory } from '../routing/service-directory.js';
+import type { ServiceDirectory } from '../routing/service-directory.js';
 import { WeightedSplit } from '../routing/weighted-split.js';
 import type { SidecarSettings } from '../settings/schemas.js';
 import { processRandom } from './process-random.js';
 import type { Program } from './program.js';
+import { createGateAdmission, createSidecarDirectory } from './sidecar-parts.js';
 import { SidecarStop } from './sidecar-stop.js';
 import { StopPhase, StopProgress } from '../call/stop-phase.js';
 import { gateTakes } from '../call/stop-policy.js';
@@ -85,6 +88,7 @@
   private readonly journal: RequestJournal;
   private readonly lease: TargetLease;
   private readonly instancePool: InstancePool;
+  private readonly crashGuard: CrashGuard;
   private readonly admission: AdmissionController;
   private readonly directory: ServiceDirectory;
   private readonly follower: Follower;
@@ -115,8 +119,9 @@
     this.journal = new RequestJournal(clock, logger.part('request'));
     this.lease = new TargetLease(clock, settings.targetSilentMs, () => this.onTargetChanged());
     this.instancePool = new InstancePool(clock);
-    this.admission = this.createAdmission();
-    this.directory = this.createDirectory();
+    this.crashGuard = this.createCrashGuard();
+    this.admission = createGateAdmission(clock, this.random, this.limiter);
+    this.directory = createSidecarDirectory(clock, this.random, settings);
     this.follower = this.createFollower();
   }
 
@@ -194,17 +199,6 @@
     return this.follower.view.table ?? EMPTY_POLICY_TABLE;
   }
 
-  private createAdmission(): AdmissionController {
-    const { clock, random, limiter } = this;
-    return new AdmissionController({
-      clock,
-      random,
-      limiter,
-      ...GATE_SHARING,
-      queueWaitMs: () => QUEUE_WAIT_MS,
-    });
-  }
-
   private createMetrics(): Registry {
     const { inboundStats, outboundStats, admission, follower, retryBudget } = this;
     const registry = createNodeMetrics(inboundStats, outboundStats, admission, follower);
@@ -212,15 +206,16 @@
     return registry;
   }
 
-  private createDirectory(): ServiceDirectory {
-    const { clock, random, settings } = this;
-    return new ServiceDirectory({
+  private createCrashGuard(): CrashGuard {
+    const { clock, logger, lease } = this;
+    return new CrashGuard({
       clock,
-      random,
-      callerId: settings.id,
-      callerZone: settings.zone,
-      // A target that is slow at its start fills up, and so is chosen less.
-      slowStartMs: () => 0,
+      logger: logger.part('target'),
+      target: () => lease.current,
+      refusesConnections,
+      table: () => this.table,
+      onDown: (instance) => lease.onDown(instance),
+      onNews: () => this.follower.announceChange(),
     });
   }
 
@@ -238,12 +233,15 @@
         role: 'node',
         incarnation: this.incarnation,
         zone: settings.zone,
-        service: this.lease.current?.service,
+        // Without a target the last one's, or its endpoint would stay listed as it was.
+        service: this.lease.current?.service ?? (this.announcedService || undefined),
         origin: this.advertised,
         claimEpoch: 0,
+        crashNews: this.crashGuard.news(),
       }),
       onConfiguration: (view) => this.onConfiguration(view),
       onEndpoints: (view) => this.adoptEndpoints(view),
+      onSuspects: ({ suspects }) => this.crashGuard.onSuspects(suspects),
       onSuperseded: () => logger.error('Another process with this id is newer.'),
     });
   }
@@ -264,6 +262,7 @@
         kindLimiter: new KindLimiter(clock),
         retryBudget: this.retryBudget,
         repeatedRuns: this.repeatedRuns,
+        crashGuard: this.crashGuard,
       },
       transport: {
         clock,
@@ -309,6 +308,7 @@
       retryBudget: this.retryBudget,
       repeatedRuns: this.repeatedRuns,
       nestedRoutes: new NestedRoutes(),
+      isQuarantined: (fingerprint) => this.crashGuard.isQuarantined(fingerprint),
     });
   }
 
@@ -353,15 +353,18 @@
     const { lease, follower, logger } = this;
     const { current } = lease;
     const instance = current?.instance ?? '';
-    if (instance !== this.announcedInstance) {
+    this.crashGuard.watch.onTarget(current);
+    const isOther = instance !== this.announcedInstance;
+    if (isOther) {
+      const left = this.announcedInstance;
       this.announcedInstance = instance;
       this.incarnation += 1;
       this.onServiceChanged(current?.service ?? '');
-      logger.info('The target is another one.', { ...current });
-      follower.announceChange();
+      if (current === undefined) logger.info('There is no target now.', { left });
+      else logger.info('The target is another one.', { ...current, left });
     }
     this.configureTarget();
-    follower.announce(this.isLeaving ? 'leaving' : 'ready');
+    follower.announce(this.isLeaving ? 'leaving' : 'ready', isOther);
     if (lease.isReady) this.admission.dispatch();
     else this.admission.refuseWaiting();
   }
--- /dev/null
+++ b/src/quarantine/crash-evidence.ts
@@ -0,0 +1,172 @@
+/**
+ * What one control replica knows of the crashes of targets, and which requests it blames for them. Soft state: every sidecar
+ * reports to every replica, so no replica needs another one's. Pure.
+ *
+ * A request is blamed if it was under way in several crashes and has not ended well anywhere since the first of them. Others
+ * that were under way in the same crashes, and in no others, are as suspect: then more crashes are wanted. A crash that one
+ * request is blamed for speaks against no other one.
+ */
+import type { Clock } from '../common/clock.js';
+import type { CrashNews, CrashReport, CrashSuspect, SuspectList } from './crash-report.js';
+
+/** Crashes under one request after which it is blamed for them. */
+export const CRASHES_TO_BLAME = 3;
+/** The same where others were under way in just the same crashes. */
+const CRASHES_TO_BLAME_ALIKE = 5;
+/** Crashes under one request from which it is told to all gates, so that one that has seen it end well says so. */
+const CRASHES_TO_SUSPECT = 2;
+/**
+ * Time for that, in milliseconds. Two pushes over the control links take some 10 ms; the rest is for processes that are
+ * busy. Together with the agreement it stays well below the 3 s in which all processes are to know.
+ */
+const HEARING_MS = 700;
+/** Crashes are forgotten after this long, in milliseconds, and above this number: soft state is bounded. */
+const CRASH_MEMORY_MS = 60 * 60_000;
+const MAX_CRASHES = 512;
+/** Suspects that are told at once. */
+const MAX_SUSPECTS = 128;
+
+interface Crash {
+  readonly at: number;
+  readonly fingerprints: Set<string>;
+}
+
+/** The crashes under one request. */
+interface Suspicion {
+  readonly crashes: Crash[];
+}
+
+export class CrashEvidence {
+  /** By the incarnation that ended, oldest first. One without fingerprints is known and speaks against none. */
+  private readonly crashes = new Map<string, Crash>();
+  private version = 1;
+  /** Nothing new is to be found long after the last change. */
+  private changedAt = -Infinity;
+  /** Requests whose quarantine has ended: the first crash makes them suspect. */
+  private probation: ReadonlySet<string> = new Set();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Takes what a sidecar tells. @returns whether the list of suspects may have changed */
+  onNews({ crashes, acquitted }: CrashNews): boolean {
+    const before = this.version;
+    for (const report of crashes) this.add(report);
+    for (const fingerprint of acquitted) this.acquit(fingerprint);
+    return this.version !== before;
+  }
+
+  /** Counts the changes of the list of suspects. */
+  get suspectVersion(): number {
+    return this.version;
+  }
+
+  /** Requests for which gates are asked whether they have seen them end well. */
+  suspectList(): SuspectList {
+    const now = this.clock.now();
+    const suspects: CrashSuspect[] = [];
+    for (const [fingerprint, { crashes }] of this.suspicions()) {
+      const needed = this.probation.has(fingerprint) ? 1 : CRASHES_TO_SUSPECT;
+      if (crashes.length < needed) continue;
+      suspects.push({ fingerprint, firstCrashAgoMs: now - crashes[0]!.at });
+    }
+    return { version: this.version, suspects: suspects.slice(-MAX_SUSPECTS) };
+  }
+
+  /** Number of crashes in which the request was under way, and for which no other one is blamed. */
+  crashesUnder(fingerprint: string): number {
+    return this.suspicions().get(fingerprint)?.crashes.length ?? 0;
+  }
+
+  /** Adopts the requests whose quarantine has ended. */
+  setProbation(fingerprints: ReadonlySet<string>): void {
+    this.probation = fingerprints;
+  }
+
+  /** Whether a request on probation was under way in a crash, and no gate has said that it ended well. */
+  blamesOnProbation(fingerprint: string): boolean {
+    if (!this.probation.has(fingerprint)) return false;
+    const first = this.suspicions().get(fingerprint)?.crashes[0];
+    return first !== undefined && this.clock.now() - first.at >= HEARING_MS;
+  }
+
+  /** Requests that are to be blamed now, the most suspect first. */
+  blamed(): string[] {
+    if (this.clock.now() - this.changedAt > 2 * HEARING_MS) return [];
+    const suspicions = [...this.suspicions()]
+      .filter(([, { crashes }]) => crashes.length >= CRASHES_TO_BLAME)
+      .sort(([, first], [, second]) => second.crashes.length - first.crashes.length);
+    const ripe = suspicions.filter(([, suspicion]) => this.isRipe(suspicion, suspicions));
+    const explained = new Set<Crash>();
+    const blamed: string[] = [];
+    for (const [fingerprint, { crashes }] of ripe) {
+      if (crashes.filter((crash) => !explained.has(crash)).length < CRASHES_TO_BLAME) continue;
+      blamed.push(fingerprint);
+      if (this.isAlone(crashes, suspicions)) for (const crash of crashes) explained.add(crash);
+    }
+    return blamed;
+  }
+
+  /** The request is known to be the cause of the crashes under it: they speak against no other one. */
+  explain(fingerprint: string): void {
+    for (const { fingerprints } of this.crashes.values()) {
+      if (!fingerprints.has(fingerprint)) continue;
+      fingerprints.clear();
+      this.onChange();
+    }
+  }
+
+  private add({ instance, fingerprints }: CrashReport): void {
+    if (this.crashes.has(instance)) return;
+    this.forgetOld();
+    this.crashes.set(instance, { at: this.clock.now(), fingerprints: new Set(fingerprints) });
+    this.onChange();
+  }
+
+  private acquit(fingerprint: string): void {
+    for (const { fingerprints } of this.crashes.values()) {
+      if (fingerprints.delete(fingerprint)) this.onChange();
+    }
+  }
+
+  private onChange(): void {
+    this.version += 1;
+    this.changedAt = this.clock.now();
+  }
+
+  private forgetOld(): void {
+    const since = this.clock.now() - CRASH_MEMORY_MS;
+    for (const [instance, { at }] of this.crashes) {
+      if (at >= since && this.crashes.size < MAX_CRASHES) return;
+      this.crashes.delete(instance);
+    }
+  }
+
+  private suspicions(): Map<string, Suspicion> {
+    const suspicions = new Map<string, Suspicion>();
+    for (const crash of this.crashes.values()) {
+      for (const fingerprint of crash.fingerprints) {
+        const suspicion = suspicions.get(fingerprint);
+        if (suspicion === undefined) suspicions.set(fingerprint, { crashes: [crash] });
+        else suspicion.crashes.push(crash);
+      }
+    }
+    return suspicions;
+  }
+
+  /** Whether there are crashes enough, and gates have had time to say that the request ended well. */
+  private isRipe({ crashes }: Suspicion, all: readonly [string, Suspicion][]): boolean {
+    const needed = this.isAlone(crashes, all) ? CRASHES_TO_BLAME : CRASHES_TO_BLAME_ALIKE;
+    const last = crashes[needed - 1];
+    return last !== undefined && this.clock.now() - last.at >= HEARING_MS;
+  }
+
+  /** Whether no other request was under way in all of these crashes and in no others. */
+  private isAlone(crashes: readonly Crash[], all: readonly [string, Suspicion][]): boolean {
+    const alike = all.filter(
+      ([, other]) =>
+        other.crashes.length === crashes.length &&
+        crashes.every((crash, index) => other.crashes[index] === crash),
+    );
+    return alike.length === 1;
+  }
+}
--- /dev/null
+++ b/src/quarantine/crash-guard.ts
@@ -0,0 +1,116 @@
+/**
+ * What one sidecar does about requests that crash targets: watches its own target, tells control of crashes and of suspects
+ * that ended well here, and says which requests are not to be sent to any target. Pure.
+ */
+import type { Clock } from '../common/clock.js';
+import type { TargetReport } from '../membership/target-lease.js';
+import type { Logger } from '../observe/logger.js';
+import type { PolicyTable } from '../policy/policy-table.js';
+import { CrashWatch, type WatchedRun } from './crash-watch.js';
+import { NO_SUSPECTS, type CrashNews, type CrashReport, type SuspectList } from './crash-report.js';
+import { GoodEnds } from './good-ends.js';
+
+/** What a guard is made of. */
+export interface CrashGuardOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly target: () => TargetReport | undefined;
+  readonly refusesConnections: (address: string) => Promise<boolean>;
+  /** The table in force. */
+  readonly table: () => PolicyTable;
+  /** The incarnation has crashed. */
+  readonly onDown: (instance: string) => void;
+  /** There is something to tell control at once. */
+  readonly onNews: () => void;
+}
+
+/** A crash is told for this long, in milliseconds: heartbeats are lost, and replicas restart within a second or two. */
+const TELL_MS = 10_000;
+/** Crashes told at once: a target that is back within 2 s can crash this often in that time. */
+const MAX_TOLD = 5;
+/** A request that ended well this long before the first crash under it is not the cause either, in milliseconds. */
+const GOOD_BEFORE_MS = 10_000;
+/** With no more requests than this in the target, each is likely enough to be the cause to not be sent on. */
+const MAX_LIKELY_CAUSES = 2;
+/** Fingerprints in the line of a crash. */
+const MAX_LOGGED = 8;
+
+interface ToldCrash {
+  readonly report: CrashReport;
+  readonly at: number;
+}
+
+export class CrashGuard {
+  readonly watch: CrashWatch;
+  private readonly goodEnds: GoodEnds;
+  private told: ToldCrash[] = [];
+  private suspects = NO_SUSPECTS;
+  private suspectsAt = 0;
+  private readonly suspected = new Set<string>();
+
+  constructor(private readonly options: CrashGuardOptions) {
+    const { clock, target, refusesConnections } = options;
+    this.goodEnds = new GoodEnds(clock);
+    this.watch = new CrashWatch({
+      clock,
+      target,
+      refusesConnections,
+      onCrash: (report) => this.onCrash(report),
+      onGoodEnd: (fingerprint) => this.onGoodEnd(fingerprint),
+    });
+  }
+
+  /** Whether the request is kept from targets. */
+  isQuarantined(fingerprint: string): boolean {
+    return this.options.table().quarantine(fingerprint)?.inForce === true;
+  }
+
+  /** Whether a target that has just crashed under the request may have done so because of it. */
+  isLikelyCause({ fingerprint }: WatchedRun, underWay: number): boolean {
+    if (underWay <= MAX_LIKELY_CAUSES || this.suspected.has(fingerprint)) return true;
+    return this.options.table().quarantine(fingerprint) !== undefined;
+  }
+
+  /** Adopts the list of suspects of a control replica. */
+  onSuspects(list: SuspectList): void {
+    this.suspects = list;
+    this.suspectsAt = this.options.clock.now();
+    this.suspected.clear();
+    for (const { fingerprint } of list.suspects) this.suspected.add(fingerprint);
+    if (this.acquitted().length > 0) this.options.onNews();
+  }
+
+  /** What to tell control; undefined where there is nothing. */
+  news(): CrashNews | undefined {
+    const since = this.options.clock.now() - TELL_MS;
+    this.told = this.told.filter(({ at }) => at >= since);
+    const crashes = this.told.map(({ report }) => report);
+    const acquitted = this.acquitted();
+    return crashes.length + acquitted.length === 0 ? undefined : { crashes, acquitted };
+  }
+
+  private acquitted(): string[] {
+    const heldMs = this.options.clock.now() - this.suspectsAt;
+    return this.suspects.suspects
+      .filter(({ fingerprint, firstCrashAgoMs }) =>
+        this.goodEnds.within(fingerprint, firstCrashAgoMs + heldMs + GOOD_BEFORE_MS),
+      )
+      .map(({ fingerprint }) => fingerprint);
+  }
+
+  private onGoodEnd(fingerprint: string): void {
+    this.goodEnds.add(fingerprint);
+    // Told once: the next list no longer names it.
+    if (this.suspected.delete(fingerprint)) this.options.onNews();
+  }
+
+  private onCrash(report: CrashReport): void {
+    const { clock, logger, onDown } = this.options;
+    const { instance, fingerprints } = report;
+    const named = fingerprints.slice(0, MAX_LOGGED);
+    const underWay = fingerprints.length;
+    logger.warn('The target has crashed.', { instance, underWay, fingerprints: named });
+    if (underWay > 0) this.told = [...this.told.slice(1 - MAX_TOLD), { report, at: clock.now() }];
+    onDown(instance);
+  }
+}
--- a/src/retry/retry-policy.ts
+++ b/src/retry/retry-policy.ts
@@ -8,6 +8,8 @@
   readonly overloaded: boolean;
   /** Whether it arrived at a target, which turned it away. Default false. */
   readonly rejectedByTarget?: boolean;
+  /** Whether no other target may get it: targets crash under it, or may. Default false. */
+  readonly isDangerous?: boolean;
 }
 
 /** The state of the call that the decision depends on. */
@@ -39,6 +41,8 @@
 
 /** The decision for a failed attempt. Pure. */
 export function decideRetry(attempt: FailedAttempt, state: RetryState): RetryDecision {
+  // A second target would crash, too: repeated at once, such requests took two targets within 0.1 s.
+  if (attempt.isDangerous === true) return 'give-up';
   if (attempt.overloaded) {
     const mayGoElsewhere = attempt.verdict === 'not-run' && state.replayable;
     if (!mayGoElsewhere || (state.overloadReroutesLeft ?? 0) <= 0) return 'give-up';
--- a/test/call/ingress-stop.test.ts
+++ b/test/call/ingress-stop.test.ts
@@ -80,6 +80,7 @@
       repeatedRuns: new RepeatedRuns(),
       retryBudget: new ServiceRetryBudget({ clock, ...DEFAULT_RETRY_BOUND, gates: () => 1 }),
       nestedRoutes: learnedFromGates('target'),
+      isQuarantined: () => false,
     });
     server = createServer(ingress.handle);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
--- a/test/call/overdue.test.ts
+++ b/test/call/overdue.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { OverloadThrottle } from '../../src/admission/overload-throttle.js';
-import { OutboundCall, type OutboundResult } from '../../src/call/outbound-call.js';
+import { OutboundCall } from '../../src/call/outbound-call.js';
+import type { OutboundResult } from '../../src/call/outbound-request.js';
 import type { Outcome } from '../../src/call/outcome.js';
 import type { AttemptListener, OutboundTransport } from '../../src/call/transport.js';
 import { SeededRandom } from '../../src/common/random.js';
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -33,6 +33,7 @@
     isRepeat: false,
     inheritedShare: 0,
     answerMarginMs: 0,
+    fingerprint: '',
   },
   method: 'POST',
   path: '/x',
@@ -159,6 +160,7 @@
       isRepeat: fc.boolean(),
       inheritedShare: fc.nat(100).map((percent) => percent / 100),
       answerMarginMs: fc.nat(1_000),
+      fingerprint: fc.string({ maxLength: 20 }).map((text) => text.replaceAll('\n', '')),
     });
     const call = { id: fc.nat(), context, method: text, path: text, headers: head.headers };
     const frames = fc.oneof(
--- a/test/link/silent-link.test.ts
+++ b/test/link/silent-link.test.ts
@@ -35,6 +35,7 @@
     isRepeat: false,
     inheritedShare: 0,
     answerMarginMs: 0,
+    fingerprint: '',
   },
   method: 'GET',
   path: '/',
