Count the time for which a machine was suspended: leases, deadlines and timers of one that wakes are due at once

SystemClock compares the time of day with the steady clock (two reads a look) and, when they part by 100 ms, asks the time since the start: both must have gained the same. Ruled out: the time since the start at every look (a read of a file on Linux); the time of day alone (it steps). Tests with injected sources, 6 cases and a property over runs, suspensions and steps; a real suspension was not tried here.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -2,6 +2,7 @@
  * Time as the decision modules see it. Programs inject {@link SystemClock}; the simulator injects
  * a virtual clock, so that the same modules run unchanged in both.
  */
+import { uptime } from 'node:os';
 
 /** A scheduled callback that can be cancelled before it runs. */
 export interface Timer {
@@ -17,14 +18,102 @@
   schedule(delayMs: number, callback: () => void): Timer;
 }
 
-/** The clock of a real process: `performance.now` and `setTimeout`. */
+/** The clocks of the operating system that tell a suspended machine from one whose time of day was set. */
+export interface ClockSources {
+  /** Monotonic milliseconds; stands still while the machine is suspended. */
+  steadyMs(): number;
+  /** Milliseconds since 1970; goes on meanwhile, and steps when it is set. */
+  wallMs(): number;
+  /** Milliseconds since the machine was started; goes on meanwhile. Costs a read of a file on Linux. */
+  uptimeMs(): number;
+}
+
+const MILLISECONDS = 1_000;
+
+const SYSTEM_SOURCES: ClockSources = {
+  steadyMs: () => performance.now(),
+  wallMs: () => Date.now(),
+  uptimeMs: () => uptime() * MILLISECONDS,
+};
+
+/** Shorter suspensions don't count, in milliseconds: the time since the start is told to 10 ms only. */
+const MIN_SUSPENSION_MS = 100;
+/** Most by which the two clocks that go on may differ over a suspension, in milliseconds. */
+const TOLERANCE_MS = 60;
+
+/**
+ * The clock of a real process. Counts the time for which the machine was suspended: leases, deadlines and elections of a
+ * machine that wakes would be late by it otherwise, and be believed. Timers that are overdue then run at the first look at
+ * the clock.
+ */
 export class SystemClock implements Clock {
+  private suspendedMs = 0;
+  /** How far the other clocks are ahead of the steady one. */
+  private wallLeadMs: number;
+  private uptimeLeadMs: number;
+  private readonly timers = new Set<SystemTimer>();
+
+  constructor(private readonly sources: ClockSources = SYSTEM_SOURCES) {
+    const steadyMs = sources.steadyMs();
+    this.wallLeadMs = sources.wallMs() - steadyMs;
+    this.uptimeLeadMs = sources.uptimeMs() - steadyMs;
+  }
+
   now(): number {
-    return performance.now();
+    const steadyMs = this.sources.steadyMs();
+    const leadMs = this.sources.wallMs() - steadyMs;
+    if (Math.abs(leadMs - this.wallLeadMs) >= MIN_SUSPENSION_MS)
+      this.onLeadChanged(leadMs, steadyMs);
+    return steadyMs + this.suspendedMs;
   }
 
   schedule(delayMs: number, callback: () => void): Timer {
-    const handle = setTimeout(callback, Math.max(0, delayMs));
-    return { cancel: () => clearTimeout(handle) };
+    const dueAt = this.now() + Math.max(0, delayMs);
+    const timer: SystemTimer = new SystemTimer(dueAt, callback, () => this.timers.delete(timer));
+    this.timers.add(timer);
+    timer.arm(delayMs);
+    return timer;
+  }
+
+  /** The time of day was set, or the machine was suspended: then both other clocks have gained the same. */
+  private onLeadChanged(wallLeadMs: number, steadyMs: number): void {
+    const uptimeLeadMs = this.sources.uptimeMs() - steadyMs;
+    const gainedMs = uptimeLeadMs - this.uptimeLeadMs;
+    const isAgreed = Math.abs(gainedMs - (wallLeadMs - this.wallLeadMs)) <= TOLERANCE_MS;
+    this.wallLeadMs = wallLeadMs;
+    this.uptimeLeadMs = uptimeLeadMs;
+    if (gainedMs < MIN_SUSPENSION_MS || !isAgreed) return;
+    this.suspendedMs += gainedMs;
+    for (const timer of this.timers) timer.arm(timer.dueAt - steadyMs - this.suspendedMs);
   }
 }
+
+/** A timer that can be armed anew. */
+class SystemTimer implements Timer {
+  private handle: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly dueAt: number,
+    private readonly callback: () => void,
+    private readonly onOver: () => void,
+  ) {}
+
+  /** Runs the callback after `delayMs` milliseconds, in place of when it was to run before. */
+  arm(delayMs: number): void {
+    clearTimeout(this.handle);
+    this.handle = setTimeout(() => this.run(), Math.max(0, delayMs));
+  }
+
+  cancel(): void {
+    clearTimeout(this.handle);
+    this.onOver();
+  }
+
+  private run(): void {
+    this.onOver();
+    this.callback();
+  }
+}
+
+/** For modules at the rim that take no clock. */
+export const SYSTEM_CLOCK = new SystemClock();
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -2,6 +2,7 @@
  * One TCP connection between two sidecars: sends frames, those of one turn of the event loop in one
  * write, and notices a peer that has fallen silent.
  */
+import { SYSTEM_CLOCK } from '../common/clock.js';
 import type { Socket } from 'node:net';
 import { encodeFrame, FrameReader } from './frame-codec.js';
 import type { LinkFrame } from './link-frames.js';
@@ -26,11 +27,11 @@
   private flushScheduled = false;
   /** What still has a frame to send at the end of this turn. */
   private pending: PendingFrame[] = [];
-  heardAt = performance.now();
+  heardAt = SYSTEM_CLOCK.now();
   pingedAt = -Infinity;
   isSuspect = false;
   /** Monotonic milliseconds at which anything last arrived, or the connection was made. */
-  arrivedAt = performance.now();
+  arrivedAt = SYSTEM_CLOCK.now();
   private closed = false;
 
   constructor(
@@ -100,7 +101,7 @@
   }
 
   private onData(bytes: Buffer): void {
-    this.arrivedAt = performance.now();
+    this.arrivedAt = SYSTEM_CLOCK.now();
     this.heardAt = this.arrivedAt;
     this.isSuspect = false;
     let frames: LinkFrame[];
--- a/src/link/peer-link.ts
+++ b/src/link/peer-link.ts
@@ -1,4 +1,5 @@
 /** The connection to one other sidecar, at its calling side. */
+import { SYSTEM_CLOCK } from '../common/clock.js';
 import { connect } from 'node:net';
 import { Readable } from 'node:stream';
 import { LinkConnection } from './link-connection.js';
@@ -98,7 +99,7 @@
   }
 
   private probeIfStale(): void {
-    if (performance.now() - this.connection.arrivedAt < PROBE_AFTER_MS) return;
+    if (SYSTEM_CLOCK.now() - this.connection.arrivedAt < PROBE_AFTER_MS) return;
     this.connection.ping();
     // What arrived while this process stood still is read before the peer is given up.
     this.probe = setTimeout(() => setImmediate(() => this.onProbeTimeout()), PROBE_TIMEOUT_MS);
--- a/src/link/peer-watch.ts
+++ b/src/link/peer-watch.ts
@@ -2,6 +2,7 @@
  * Looks after the peers of busy connections with one timer a process: asks those that have been
  * silent for a sign of life, and gives up those that stay silent.
  */
+import { SYSTEM_CLOCK } from '../common/clock.js';
 
 /** A connection whose peer is looked after. */
 export interface WatchedPeer {
@@ -38,10 +39,10 @@
   /** Begins to look after a peer. */
   add(peer: WatchedPeer): void {
     if (this.peers.has(peer)) return;
-    peer.heardAt = performance.now();
+    peer.heardAt = SYSTEM_CLOCK.now();
     this.peers.add(peer);
     if (this.timer !== undefined) return;
-    this.checkedAt = performance.now();
+    this.checkedAt = SYSTEM_CLOCK.now();
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
   }
 
@@ -55,7 +56,7 @@
   }
 
   private check(): void {
-    const now = performance.now();
+    const now = SYSTEM_CLOCK.now();
     const stoodStill = now - this.checkedAt > LATE_CHECK_MS;
     this.checkedAt = now;
     for (const peer of [...this.peers]) {
--- /dev/null
+++ b/test/common/suspended-clock.test.ts
@@ -0,0 +1,133 @@
+/**
+ * A machine that had been suspended for seconds would trust its leases, deadlines and views for that much longer after it woke:
+ * `performance.now` and timers stand still meanwhile, while the other machines' clocks go on. So a target that last reported
+ * 5.5 s before would still count as ready where 3 s are the limit, and a call would be sent on with time that its caller no
+ * longer has. What tells a suspension from a step of the time of day is the time since the start, which only the former moves.
+ */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { SystemClock, type ClockSources } from '../../src/common/clock.js';
+import { OverdueProbe } from '../support/overdue-probe.js';
+import { TargetLease } from '../../src/membership/target-lease.js';
+
+/** The clocks of a machine that a test suspends, and whose time of day it sets. */
+class TestMachine implements ClockSources {
+  private steady = 1_000;
+  private wall = 1_700_000_000_000;
+  private uptime = 50_000;
+
+  steadyMs(): number {
+    return this.steady;
+  }
+
+  wallMs(): number {
+    return this.wall;
+  }
+
+  uptimeMs(): number {
+    return this.uptime;
+  }
+
+  run(durationMs: number): void {
+    this.steady += durationMs;
+    this.wall += durationMs;
+    this.uptime += durationMs;
+  }
+
+  suspend(durationMs: number): void {
+    this.wall += durationMs;
+    this.uptime += durationMs;
+  }
+
+  setTimeOfDay(byMs: number): void {
+    this.wall += byMs;
+  }
+
+  /** As on a platform whose time since the start is not that of the other clocks. */
+  driftUptime(byMs: number): void {
+    this.uptime += byMs;
+  }
+}
+
+function clockOf(machine: TestMachine): SystemClock {
+  return new SystemClock(machine);
+}
+
+describe('the clock of a process', () => {
+  let machine: TestMachine;
+  let clock: SystemClock;
+
+  beforeEach(() => {
+    machine = new TestMachine();
+    clock = clockOf(machine);
+  });
+
+  function elapsed(step: () => void): number {
+    const before = clock.now();
+    step();
+    return clock.now() - before;
+  }
+
+  it('counts the time for which the machine was suspended', () => {
+    expect(elapsed(() => machine.suspend(5_000))).to.equal(5_000);
+    expect(elapsed(() => machine.run(70))).to.equal(70);
+  });
+
+  it('does not count steps of the time of day', () => {
+    expect(elapsed(() => machine.setTimeOfDay(60_000))).to.equal(0);
+    expect(elapsed(() => machine.setTimeOfDay(-30_000))).to.equal(0);
+    expect(elapsed(() => machine.suspend(1_000))).to.equal(1_000);
+  });
+
+  it('believes no time since the start that does not agree with the time of day', () => {
+    machine.driftUptime(40_000);
+    expect(elapsed(() => machine.setTimeOfDay(2_000))).to.equal(0);
+  });
+
+  it('never goes back, and counts each suspension that is not mixed with a step once', () => {
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('run' as const), ms: fc.nat(5_000) }),
+      fc.record({
+        kind: fc.constant('suspend' as const),
+        ms: fc.integer({ min: 200, max: 60_000 }),
+      }),
+      fc.record({
+        kind: fc.constant('set' as const),
+        ms: fc.integer({ min: -90_000, max: 90_000 }),
+      }),
+    );
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+        machine = new TestMachine();
+        clock = clockOf(machine);
+        for (const { kind, ms } of steps) {
+          const passed = elapsed(() => {
+            if (kind === 'run') machine.run(ms);
+            else if (kind === 'suspend') machine.suspend(ms);
+            else machine.setTimeOfDay(ms);
+          });
+          expect(passed).to.be.closeTo(kind === 'set' ? 0 : ms, 0.01);
+        }
+      }),
+    );
+  });
+
+  it('ends the lease of a target that has not been heard of since before', () => {
+    const lease = new TargetLease(clock, 3_000, () => undefined);
+    const place = { service: 'ledger', address: '127.0.0.1:1', slots: 8 };
+    lease.onReport({ ...place, instance: 'a', state: 'ready', sequence: 1, coldRemainingMs: 0 });
+    machine.run(500);
+    expect(lease.isReady).to.equal(true);
+    machine.suspend(5_000);
+    expect(lease.isReady).to.equal(false);
+  });
+
+  it('runs timers that became overdue meanwhile soon after, and no others', async () => {
+    const probe = new OverdueProbe(clock, [2_000, 60_000, 4_000]);
+    machine.suspend(5_000);
+    clock.now();
+    await probe.settle();
+    expect(probe.ran).to.deep.equal([2_000, 4_000]);
+    probe.cancel();
+  });
+});
