A quarantine outlasts restarts of control and of a sidecar (test); no blame for what ended well here lately

Restarted processes refuse the request before they are ready to take others. A request that its gate has seen end well in the last 10 s is not held back from a second attempt for a crash under it.

--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -67,8 +67,9 @@
 
   /** Whether a target that has just crashed under the request may have done so because of it. */
   isLikelyCause({ fingerprint }: WatchedRun, underWay: number): boolean {
-    if (underWay <= MAX_LIKELY_CAUSES || this.suspected.has(fingerprint)) return true;
-    return this.options.table().quarantine(fingerprint) !== undefined;
+    if (this.suspected.has(fingerprint)) return true;
+    if (this.options.table().quarantine(fingerprint) !== undefined) return true;
+    return underWay <= MAX_LIKELY_CAUSES && !this.goodEnds.within(fingerprint, GOOD_BEFORE_MS);
   }
 
   /** Adopts the list of suspects of a control replica. */
--- a/test/programs/crashing-requests.test.ts
+++ b/test/programs/crashing-requests.test.ts
@@ -7,6 +7,7 @@
  */
 import { expect } from 'chai';
 import { CrashingTargets, pause } from '../support/crashing-targets.js';
+import { until } from '../support/processes.js';
 
 const FRONTS = 6;
 const BACKS = 4;
@@ -98,6 +99,20 @@
     expect(servedPart(asked, targets.crashedAt[2]! + SETTLED_MS)).to.equal(1);
   });
 
+  it('is still kept from targets by a control and a sidecar that have been restarted', async () => {
+    const crashes = crashesOf('/front/bad');
+    targets = await CrashingTargets.start({ fronts: 3, backs: 0, crashes });
+    const bad = { path: '/front/bad', machine: 0 };
+    await until(async () => (await targets.ask(bad)) === 503 && targets.crashedAt.length >= 3);
+    await pause(CONTACT_MS);
+    const runs = targets.runs.filter(({ path }) => path === bad.path).length;
+    await targets.restartSidecar(0, () => targets.restartControl());
+    await until(() => targets.isReady(0));
+    expect(await targets.ask(bad)).to.equal(503);
+    expect(targets.runs.filter(({ path }) => path === bad.path).length).to.equal(runs);
+    await until(async () => (await targets.ask({ path: '/front/good', machine: 0 })) === STATUS_OK);
+  });
+
   it('is not one that is merely under way whenever targets crash by themselves', async () => {
     targets = await CrashingTargets.start({ fronts: FRONTS, backs: 0, crashes: () => false });
     const crash = async (): Promise<void> => {
--- a/test/support/crashing-targets.ts
+++ b/test/support/crashing-targets.ts
@@ -9,7 +9,7 @@
 import type { Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
 import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
-import { LONE_LINK_TOKEN, startLoneControl } from './lone-control.js';
+import { LONE_LINK_TOKEN, RestartableControl } from './lone-control.js';
 import { Cleanup, until } from './processes.js';
 
 const ANY_ADDRESS = '127.0.0.1:0';
@@ -63,6 +63,7 @@
   private readonly agent = new Agent({ connections: 64 });
   private readonly cleanup = new Cleanup();
   private nextId = 0;
+  private control: RestartableControl | undefined;
 
   private constructor(private readonly options: CrashingTargetsOptions) {}
 
@@ -81,9 +82,24 @@
     this.machines[machine]!.crash();
   }
 
-  /** Number of targets that are up. */
-  get up(): number {
-    return this.machines.filter((machine) => machine.isUp).length;
+  /** Stops the sidecar of a machine, and starts it again once `between` has been done. */
+  async restartSidecar(machine: number, between: () => Promise<void>): Promise<void> {
+    const { sidecar } = this.machines[machine]!;
+    await sidecar?.stop();
+    await between();
+    await this.machines[machine]!.startSidecar(this.control!);
+  }
+
+  /** Stops the control replica, and starts it again with what is on its disk. */
+  async restartControl(): Promise<void> {
+    await this.control?.restart();
+  }
+
+  /** Whether the sidecar of a machine takes requests. */
+  async isReady(machine: number): Promise<boolean> {
+    const response = await request(`${this.machines[machine]!.sidecar!.origins.admin}/readyz`);
+    await response.body.dump();
+    return response.statusCode === STATUS_OK;
   }
 
   /** Sends a request. @returns its status; 0 where no whole answer came */
@@ -119,7 +135,8 @@
   private async startAll(): Promise<void> {
     const { cleanup } = this;
     cleanup.add(() => this.agent.destroy());
-    const control = await startLoneControl(cleanup);
+    const control = await RestartableControl.start(cleanup);
+    this.control = control;
     cleanup.add(async () => {
       await Promise.all(this.machines.map((machine) => machine.end()));
     });
@@ -133,7 +150,7 @@
     return (await this.ask({ path: `/${service}/warm-up`, machine: index })) === STATUS_OK;
   }
 
-  private async add(service: string, control: Program): Promise<void> {
+  private async add(service: string, control: RestartableControl): Promise<void> {
     const target: CrashingTarget = new CrashingTarget(
       this.machines.length,
       service,
@@ -172,7 +189,7 @@
     response.writeHead(answered, { 'content-length': BODY.length }).end(BODY);
   }
 
-  private async declare(control: Program): Promise<boolean> {
+  private async declare(control: RestartableControl): Promise<boolean> {
     const limits = { timeoutMs: 2_000, objectiveMs: 500, rank: 0, maxTargets: 2 };
     const route = (name: string, service: string, semantics: string) => ({
       kind: 'Route',
@@ -187,7 +204,7 @@
       service('front'),
       service('back'),
     ];
-    const response = await request(`${control.origins.listen}/v1/declarations`, {
+    const response = await request(`${control.origin}/v1/declarations`, {
       method: 'PUT',
       headers: { 'if-match': '0' },
       body: JSON.stringify({ version: 1, resources }),
@@ -222,7 +239,12 @@
     return this.server !== undefined;
   }
 
-  async start(control: Program): Promise<void> {
+  async start(control: RestartableControl): Promise<void> {
+    await this.startSidecar(control);
+    await this.startTarget();
+  }
+
+  async startSidecar(control: RestartableControl): Promise<void> {
     const settings = sidecarSettingsSchema.parse({
       id: `sidecar-${this.index}`,
       zone: 'zone-a',
@@ -231,12 +253,11 @@
       outbound: ANY_ADDRESS,
       registration: ANY_ADDRESS,
       admin: ANY_ADDRESS,
-      control: [control.origins.listen],
+      control: [control.origin],
       heartbeatIntervalMs: HEARTBEAT_MS,
       linkToken: LONE_LINK_TOKEN,
     });
     this.sidecar = await startSidecar(settings, SILENT_LOGGER);
-    await this.startTarget();
   }
 
   async end(): Promise<void> {
