Blame a request whoever sends it once crashes under it came by different callers

Now a fingerprint has a part for what is asked and one for the caller. Crashes by two callers blame the request for all; three by one caller blame it for that one, and the next crash by another for all. A caller for whom it ends well keeps it from being blamed for all. Ruled out: leaving the caller out (a twin by another caller would be refused after three crashes).

--- a/src/control/quarantine-keeper.ts
+++ b/src/control/quarantine-keeper.ts
@@ -44,7 +44,6 @@
     const { evidence, log } = this.options;
     this.readKnown();
     const { known } = this;
-    for (const { name, spec } of known) if (spec.inForce) evidence.explain(name);
     if (log.status().role !== 'leader') return;
     for (const quarantine of known) {
       if (this.isDue(quarantine)) this.endTerm(quarantine);
@@ -61,8 +60,9 @@
       .list()
       .map(({ resource }) => resource)
       .filter((resource) => resource.kind === 'Quarantine');
-    const onProbation = this.known.filter(({ spec }) => !spec.inForce);
-    evidence.setProbation(new Set(onProbation.map(({ name }) => name)));
+    evidence.adopt(
+      this.known.map(({ name, spec }) => ({ fingerprint: name, inForce: spec.inForce })),
+    );
   }
 
   private begin(fingerprint: string): void {
--- a/src/policy/policy-table.ts
+++ b/src/policy/policy-table.ts
@@ -152,9 +152,9 @@
     return this.quarantines.get(fingerprint);
   }
 
-  /** Number of requests that are kept from targets. */
+  /** Number of quarantines, in force or ended lately. */
   get quarantineCount(): number {
-    return [...this.quarantines.values()].filter(({ inForce }) => inForce).length;
+    return this.quarantines.size;
   }
 
   /** Settings of the service's targets; defaults when none are declared. */
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -4,9 +4,11 @@
  *
  * A request is blamed if it was under way in several crashes and has not ended well anywhere since the first of them. Others
  * that were under way in the same crashes, and in no others, are as suspect: then more crashes are wanted. A crash that one
- * request is blamed for speaks against no other one.
+ * request is blamed for speaks against no other one. A request is blamed whoever sends it once crashes under it came by
+ * different callers, and for one caller otherwise.
  */
 import type { Clock } from '../common/clock.js';
+import { hasCaller, withoutCaller } from './request-fingerprint.js';
 import type { CrashNews, CrashReport, CrashSuspect, SuspectList } from './crash-report.js';
 
 /** Crashes under one request after which it is blamed for them. */
@@ -31,6 +33,13 @@
   readonly fingerprints: Set<string>;
 }
 
+/** A quarantine as the store has it. */
+export interface KnownQuarantine {
+  readonly fingerprint: string;
+  /** False once its time is over and the next crash renews it. */
+  readonly inForce: boolean;
+}
+
 /** The crashes under one request. */
 interface Suspicion {
   readonly crashes: Crash[];
@@ -42,6 +51,8 @@
   private version = 1;
   /** Nothing new is to be found long after the last change. */
   private changedAt = -Infinity;
+  /** Requests in quarantine: they are not blamed again. */
+  private inForce: ReadonlySet<string> = new Set();
   /** Requests whose quarantine has ended: the first crash makes them suspect. */
   private probation: ReadonlySet<string> = new Set();
 
@@ -77,9 +88,19 @@
     return this.suspicions().get(fingerprint)?.crashes.length ?? 0;
   }
 
-  /** Adopts the requests whose quarantine has ended. */
-  setProbation(fingerprints: ReadonlySet<string>): void {
-    this.probation = fingerprints;
+  /** Adopts the quarantines that there are now. What speaks against a request that was taken out of them is forgotten. */
+  adopt(quarantines: readonly KnownQuarantine[]): void {
+    const before = [...this.inForce, ...this.probation];
+    const namesOf = (inForce: boolean): Set<string> =>
+      new Set(
+        quarantines.filter((each) => each.inForce === inForce).map((each) => each.fingerprint),
+      );
+    this.inForce = namesOf(true);
+    this.probation = namesOf(false);
+    for (const name of before) {
+      if (!this.inForce.has(name) && !this.probation.has(name)) this.acquit(name);
+    }
+    for (const name of this.inForce) this.explain(name);
   }
 
   /** Whether a request on probation was under way in a crash, and no gate has said that it ended well. */
@@ -94,32 +115,40 @@
     if (this.clock.now() - this.changedAt > 2 * HEARING_MS) return [];
     const suspicions = [...this.suspicions()]
       .filter(([, { crashes }]) => crashes.length >= CRASHES_TO_BLAME)
+      .filter(([name]) => !this.inForce.has(name) && !this.probation.has(name))
       .sort(([, first], [, second]) => second.crashes.length - first.crashes.length);
-    const ripe = suspicions.filter(([, suspicion]) => this.isRipe(suspicion, suspicions));
+    const ripe = suspicions.filter(([name, suspicion]) => this.isRipe(name, suspicion, suspicions));
     const explained = new Set<Crash>();
     const blamed: string[] = [];
     for (const [fingerprint, { crashes }] of ripe) {
       if (crashes.filter((crash) => !explained.has(crash)).length < CRASHES_TO_BLAME) continue;
       blamed.push(fingerprint);
-      if (this.isAlone(crashes, suspicions)) for (const crash of crashes) explained.add(crash);
+      if (isAlone(fingerprint, crashes, suspicions)) {
+        for (const crash of crashes) explained.add(crash);
+      }
     }
     return blamed;
   }
 
   /** The request is known to be the cause of the crashes under it: they speak against no other one. */
-  explain(fingerprint: string): void {
+  private explain(fingerprint: string): void {
     for (const { fingerprints } of this.crashes.values()) {
       if (!fingerprints.has(fingerprint)) continue;
-      fingerprints.clear();
-      this.onChange();
+      for (const other of [...fingerprints]) {
+        // The same request of other callers stays suspect.
+        const isSameRequest = withoutCaller(other) === withoutCaller(fingerprint);
+        if (!isSameRequest && fingerprints.delete(other)) this.onChange();
+      }
     }
   }
 
   private add({ instance, fingerprints }: CrashReport): void {
     if (this.crashes.has(instance)) return;
     this.forgetOld();
-    this.crashes.set(instance, { at: this.clock.now(), fingerprints: new Set(fingerprints) });
+    const names = fingerprints.flatMap((each) => [each, withoutCaller(each)]);
+    this.crashes.set(instance, { at: this.clock.now(), fingerprints: new Set(names) });
     this.onChange();
+    for (const name of names) if (this.inForce.has(name)) this.explain(name);
   }
 
   private acquit(fingerprint: string): void {
@@ -154,19 +183,39 @@
   }
 
   /** Whether there are crashes enough, and gates have had time to say that the request ended well. */
-  private isRipe({ crashes }: Suspicion, all: readonly [string, Suspicion][]): boolean {
-    const needed = this.isAlone(crashes, all) ? CRASHES_TO_BLAME : CRASHES_TO_BLAME_ALIKE;
+  private isRipe(
+    fingerprint: string,
+    { crashes }: Suspicion,
+    all: readonly [string, Suspicion][],
+  ): boolean {
+    if (!hasCaller(fingerprint) && callersOf(fingerprint, crashes).size < 2) return false;
+    const isOnlyOne = isAlone(fingerprint, crashes, all);
+    const needed = isOnlyOne ? CRASHES_TO_BLAME : CRASHES_TO_BLAME_ALIKE;
     const last = crashes[needed - 1];
     return last !== undefined && this.clock.now() - last.at >= HEARING_MS;
   }
+}
+
+/** Whether no other request was under way in just the same crashes. */
+function isAlone(
+  fingerprint: string,
+  crashes: readonly Crash[],
+  all: readonly [string, Suspicion][],
+): boolean {
+  return all.every(([name, other]) => {
+    if (withoutCaller(name) === withoutCaller(fingerprint)) return true;
+    if (other.crashes.length !== crashes.length) return true;
+    return crashes.some((crash, index) => other.crashes[index] !== crash);
+  });
+}
 
-  /** Whether no other request was under way in all of these crashes and in no others. */
-  private isAlone(crashes: readonly Crash[], all: readonly [string, Suspicion][]): boolean {
-    const alike = all.filter(
-      ([, other]) =>
-        other.crashes.length === crashes.length &&
-        crashes.every((crash, index) => other.crashes[index] === crash),
-    );
-    return alike.length === 1;
+/** Fingerprints with a caller under which a request was under way in these crashes. */
+function callersOf(request: string, crashes: readonly Crash[]): Set<string> {
+  const callers = new Set<string>();
+  for (const { fingerprints } of crashes) {
+    for (const each of fingerprints) {
+      if (hasCaller(each) && withoutCaller(each) === request) callers.add(each);
+    }
   }
+  return callers;
 }
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -9,6 +9,7 @@
 import { CrashWatch, type WatchedRun } from './crash-watch.js';
 import { NO_SUSPECTS, type CrashNews, type CrashReport, type SuspectList } from './crash-report.js';
 import { GoodEnds } from './good-ends.js';
+import { withoutCaller } from './request-fingerprint.js';
 
 /** What a guard is made of. */
 export interface CrashGuardOptions {
@@ -62,13 +63,19 @@
 
   /** Whether the request is kept from targets. */
   isQuarantined(fingerprint: string): boolean {
-    return this.options.table().quarantine(fingerprint)?.inForce === true;
+    const table = this.options.table();
+    if (table.quarantineCount === 0) return false;
+    const isInForce = (name: string): boolean => table.quarantine(name)?.inForce === true;
+    return isInForce(fingerprint) || isInForce(withoutCaller(fingerprint));
   }
 
   /** Whether a target that has just crashed under the request may have done so because of it. */
   isLikelyCause({ fingerprint }: WatchedRun, underWay: number): boolean {
-    if (this.suspected.has(fingerprint)) return true;
-    if (this.options.table().quarantine(fingerprint) !== undefined) return true;
+    const request = withoutCaller(fingerprint);
+    if (this.suspected.has(fingerprint) || this.suspected.has(request)) return true;
+    const table = this.options.table();
+    const isKnown = [fingerprint, request].some((name) => table.quarantine(name) !== undefined);
+    if (isKnown) return true;
     return underWay <= MAX_LIKELY_CAUSES && !this.goodEnds.within(fingerprint, GOOD_BEFORE_MS);
   }
 
@@ -100,9 +107,13 @@
   }
 
   private onGoodEnd(fingerprint: string): void {
-    this.goodEnds.add(fingerprint);
-    // Told once: the next list no longer names it.
-    if (this.suspected.delete(fingerprint)) this.options.onNews();
+    let isNews = false;
+    for (const name of [fingerprint, withoutCaller(fingerprint)]) {
+      this.goodEnds.add(name);
+      // Told once: the next list no longer names it.
+      if (this.suspected.delete(name)) isNews = true;
+    }
+    if (isNews) this.options.onNews();
   }
 
   private onCrash(report: CrashReport): void {
--- a/src/quarantine/good-ends.ts
+++ b/src/quarantine/good-ends.ts
@@ -1,8 +1,8 @@
 /** Which requests a gate's target has answered lately, and when. Bounded. Pure. */
 import type { Clock } from '../common/clock.js';
 
-/** Requests that are remembered: about 0.5 MB, and twelve seconds of different requests at 350 a second. */
-const MAX_REMEMBERED = 4_096;
+/** Fingerprints that are remembered: about 1 MB, and twelve seconds of different requests at 350 a second, two for each. */
+const MAX_REMEMBERED = 8_192;
 
 export class GoodEnds {
   /** Moments of the clock by fingerprint, oldest first. */
--- a/test/programs/crashing-requests.test.ts
+++ b/test/programs/crashing-requests.test.ts
@@ -34,7 +34,12 @@
   afterEach(() => targets.end());
 
   /** Sends `path` again and again at machines in turn, and innocent requests beside it. */
-  async function watch(path: string, body: string | undefined, innocents: readonly string[]) {
+  async function watch(
+    path: string,
+    body: string | undefined,
+    innocents: readonly string[],
+    machines = FRONTS,
+  ) {
     const endAt = performance.now() + WATCHED_MS;
     const asked: Asked[] = [];
     const crashing: Promise<number>[] = [];
@@ -48,7 +53,7 @@
       for (const each of innocents) ask(each);
     }, INNOCENT_GAP_MS);
     for (let turn = 0; performance.now() < endAt; turn += 1) {
-      const request = { path, machine: (turn * 5) % FRONTS };
+      const request = { path, machine: (turn * 5) % machines };
       crashing.push(targets.ask(body === undefined ? request : { ...request, body }));
       await pause(GAP_MS);
     }
@@ -99,6 +104,15 @@
     expect(servedPart(asked, targets.crashedAt[2]! + SETTLED_MS)).to.equal(1);
   });
 
+  it('is kept from targets, whichever services are on the machines that it comes by', async () => {
+    const crashes = crashesOf('/front/bad');
+    targets = await CrashingTargets.start({ fronts: FRONTS, backs: BACKS, crashes });
+    const { asked } = await watch('/front/bad', undefined, ['/front/good'], FRONTS + BACKS - 1);
+    expectBounded('/front/bad');
+    expect(targets.crashedAt.length).to.be.at.most(6);
+    expect(servedPart(asked, targets.crashedAt[2]! + SETTLED_MS)).to.equal(1);
+  });
+
   it('is still kept from targets by a control and a sidecar that have been restarted', async () => {
     const crashes = crashesOf('/front/bad');
     targets = await CrashingTargets.start({ fronts: 3, backs: 0, crashes });
--- a/test/quarantine/crash-evidence.test.ts
+++ b/test/quarantine/crash-evidence.test.ts
@@ -6,6 +6,17 @@
 const GAP_MS = 400;
 const SETTLED_MS = 1_000;
 
+/** As the product's fingerprints: what is asked, and the caller unless it does not matter. */
+function fingerprint(name: string, caller?: string): string {
+  const request = name.padEnd(20, '0');
+  return caller === undefined ? request : `${request}-${caller}`;
+}
+
+/** Of the usual caller of these tests. */
+function of(name: string): string {
+  return fingerprint(name, 'a');
+}
+
 describe('the evidence of crashes', () => {
   let clock: VirtualClock;
   let evidence: CrashEvidence;
@@ -17,14 +28,21 @@
     crashes = 0;
   });
 
-  function crash(...fingerprints: string[]): void {
+  /** A crash under these requests, which all come by one caller. */
+  function crash(...names: string[]): void {
+    crashBy('a', ...names);
+  }
+
+  function crashBy(caller: string, ...names: string[]): void {
     crashes += 1;
+    const fingerprints = names.map((name) => fingerprint(name, caller));
     evidence.onNews({ crashes: [{ instance: `i-${crashes}`, fingerprints }], acquitted: [] });
     clock.advance(GAP_MS);
   }
 
-  function acquit(...acquitted: string[]): void {
-    evidence.onNews({ crashes: [], acquitted });
+  function acquit(...names: string[]): void {
+    const both = names.flatMap((name) => [fingerprint(name, 'a'), fingerprint(name)]);
+    evidence.onNews({ crashes: [], acquitted: both });
   }
 
   function blamed(): string[] {
@@ -37,46 +55,45 @@
     crash('bad', 'b');
     expect(blamed()).to.deep.equal([]);
     crash('bad', 'c');
-    expect(blamed()).to.deep.equal(['bad']);
+    expect(blamed()).to.deep.equal([of('bad')]);
   });
 
   it('gives gates time to say that the request ended well', () => {
     for (let each = 0; each < 3; each += 1) crash('popular');
     expect(evidence.blamed()).to.deep.equal([]);
-    expect(evidence.suspectList().suspects.map(({ fingerprint }) => fingerprint)).to.deep.equal([
-      'popular',
-    ]);
+    const suspects = evidence.suspectList().suspects.map((suspect) => suspect.fingerprint);
+    expect(suspects).to.deep.equal([of('popular'), fingerprint('popular')]);
     acquit('popular');
     expect(blamed()).to.deep.equal([]);
     expect(evidence.suspectList().suspects).to.deep.equal([]);
   });
 
   it('counts a crash that is told again once', () => {
-    const report = { instance: 'i-1', fingerprints: ['bad'] };
+    const report = { instance: 'i-1', fingerprints: [of('bad')] };
     for (let each = 0; each < 5; each += 1) {
       evidence.onNews({ crashes: [report], acquitted: [] });
       clock.advance(GAP_MS);
     }
-    expect(evidence.crashesUnder('bad')).to.equal(1);
+    expect(evidence.crashesUnder(of('bad'))).to.equal(1);
     acquit('bad');
     evidence.onNews({ crashes: [report], acquitted: [] });
-    expect(evidence.crashesUnder('bad')).to.equal(0);
+    expect(evidence.crashesUnder(of('bad'))).to.equal(0);
   });
 
   it('blames the request of more crashes, and none that was merely there', () => {
     for (let each = 0; each < 3; each += 1) crash('bad', 'unlucky');
     crash('bad');
-    expect(blamed()).to.deep.equal(['bad']);
-    evidence.explain('bad');
+    expect(blamed()).to.deep.equal([of('bad')]);
+    evidence.adopt([{ fingerprint: of('bad'), inForce: true }]);
     expect(blamed()).to.deep.equal([]);
-    expect(evidence.crashesUnder('unlucky')).to.equal(0);
+    expect(evidence.crashesUnder(of('unlucky'))).to.equal(0);
   });
 
   it('wants five crashes where it can not tell two requests apart', () => {
     for (let each = 0; each < 4; each += 1) crash('bad', 'companion');
     expect(blamed()).to.deep.equal([]);
     crash('bad', 'companion');
-    expect(blamed()).to.have.members(['bad', 'companion']);
+    expect(blamed()).to.have.members([of('bad'), of('companion')]);
   });
 
   it('blames several requests that crash targets at the same time', () => {
@@ -84,17 +101,43 @@
       crash('bad', `a-${each}`);
       crash('worse', `b-${each}`);
     }
-    expect(blamed()).to.have.members(['bad', 'worse']);
+    expect(blamed()).to.have.members([of('bad'), of('worse')]);
+  });
+
+  it('blames a request whoever sends it, once crashes came by two callers', () => {
+    crashBy('a', 'bad');
+    crashBy('b', 'bad');
+    crashBy('c', 'bad');
+    expect(blamed()).to.deep.equal([fingerprint('bad')]);
+  });
+
+  it('blames a request of one caller only, while others see it end well or have not sent it', () => {
+    for (let each = 0; each < 3; each += 1) crashBy('a', 'bad');
+    expect(blamed()).to.deep.equal([of('bad')]);
+    evidence.adopt([{ fingerprint: of('bad'), inForce: true }]);
+    crashBy('b', 'bad');
+    expect(blamed()).to.include(fingerprint('bad'));
+  });
+
+  it('forgets what spoke against a request that an operator takes out of quarantine', () => {
+    for (let each = 0; each < 4; each += 1) crash('sound');
+    evidence.adopt([{ fingerprint: of('sound'), inForce: true }]);
+    evidence.adopt([]);
+    expect(blamed()).to.deep.equal([]);
+    expect(evidence.crashesUnder(of('sound'))).to.equal(0);
   });
 
   it('renews after one crash what was in quarantine, unless it ends well', () => {
-    evidence.setProbation(new Set(['bad', 'mended']));
+    evidence.adopt([
+      { fingerprint: of('bad'), inForce: false },
+      { fingerprint: of('mended'), inForce: false },
+    ]);
     crash('bad');
     crash('mended');
     acquit('mended');
     clock.advance(SETTLED_MS);
-    expect(evidence.blamesOnProbation('bad')).to.equal(true);
-    expect(evidence.blamesOnProbation('mended')).to.equal(false);
+    expect(evidence.blamesOnProbation(of('bad'))).to.equal(true);
+    expect(evidence.blamesOnProbation(of('mended'))).to.equal(false);
   });
 
   it('blames no request that ends well now and then, and always the one that never does', () => {
@@ -107,7 +150,7 @@
           // Each of the innocent ones ends well somewhere between two crashes.
           acquit(...each);
         }
-        expect(blamed()).to.deep.equal(['bad']);
+        expect(blamed()).to.deep.equal([of('bad')]);
       }),
     );
   });
@@ -115,7 +158,7 @@
   it('stays bounded when each crash is of other requests', () => {
     for (let each = 0; each < 2_000; each += 1) crash(`once-${each}`);
     expect(evidence.suspectList().suspects).to.deep.equal([]);
-    expect(evidence.crashesUnder('once-0')).to.equal(0);
-    expect(evidence.crashesUnder('once-1999')).to.equal(1);
+    expect(evidence.crashesUnder(of('once-0'))).to.equal(0);
+    expect(evidence.crashesUnder(of('once-1999'))).to.equal(1);
   });
 });
--- a/test/quarantine/request-fingerprint.test.ts
+++ b/test/quarantine/request-fingerprint.test.ts
@@ -1,6 +1,11 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { fingerprintOf, type RequestIdentity } from '../../src/quarantine/request-fingerprint.js';
+import {
+  fingerprintOf,
+  hasCaller,
+  withoutCaller,
+  type RequestIdentity,
+} from '../../src/quarantine/request-fingerprint.js';
 
 const REQUEST: RequestIdentity = {
   service: 'ledger',
@@ -16,7 +21,7 @@
   it('is the same for each time that it comes', () => {
     const copy = { ...REQUEST, bodyStart: Buffer.from('{"plan":1}') };
     expect(fingerprintOf(copy)).to.equal(fingerprintOf(REQUEST));
-    expect(fingerprintOf(REQUEST)).to.match(/^[0-9a-f]{20}$/);
+    expect(fingerprintOf(REQUEST)).to.match(/^[0-9a-f]{20}-[0-9a-f]{8}$/);
   });
 
   it('is another one for each part that differs', () => {
@@ -34,6 +39,13 @@
     expect(new Set([...all, fingerprintOf(REQUEST)]).size).to.equal(others.length + 1);
   });
 
+  it('is the same one for another caller, but for the part of the caller', () => {
+    const other = fingerprintOf({ ...REQUEST, callingService: 'till' });
+    expect(withoutCaller(other)).to.equal(withoutCaller(fingerprintOf(REQUEST)));
+    expect(hasCaller(other)).to.equal(true);
+    expect(hasCaller(withoutCaller(other))).to.equal(false);
+  });
+
   it('does not mix parts up', () => {
     const text = fc.string({ maxLength: 6 }).map((each) => each.replaceAll('\n', ''));
     fc.assert(
