--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -14,7 +14,8 @@
   QUEUE_WAIT_MS,
   SLOT_FRACTION,
 } from '../../../src/call/gate-policy.js';
-import { InboundCall, type InboundServices } from '../../../src/call/inbound-call.js';
+import { InboundCall } from '../../../src/call/inbound-call.js';
+import type { InboundServices } from '../../../src/call/inbound-services.js';
 import {
   comeBackSeconds,
   congestionOf,
--- /dev/null
+++ b/src/call/broken-run.ts
@@ -0,0 +1,38 @@
+/** What a gate answers when the connection to its target broke before an answer began. Pure. */
+import type { Verdict } from '../common/verdict.js';
+import { CrashNote } from './outcome.js';
+import type { Refusal } from './refusal.js';
+
+/** The refusal, and what it tells the caller of the target. */
+export interface BrokenRun {
+  readonly refusal: Refusal;
+  readonly crashNote: CrashNote | undefined;
+}
+
+const RETRY_AFTER_SECONDS = 1;
+
+/**
+ * @param verdict whether the request may have run
+ * @param isDown whether the target refuses connections, or another incarnation is in its place
+ * @param isLikelyCause whether the target may have crashed because of the request
+ */
+export function judgeBrokenRun(
+  verdict: Verdict,
+  isDown: boolean,
+  isLikelyCause: boolean,
+): BrokenRun {
+  const retryAfterSeconds = RETRY_AFTER_SECONDS;
+  if (!isDown) {
+    const detail = 'The connection to the target broke.';
+    const refusal: Refusal = { reason: 'unreachable', verdict, retryAfterSeconds, detail };
+    return { refusal, crashNote: undefined };
+  }
+  if (verdict === 'not-run') {
+    const detail = 'The target is down.';
+    const refusal: Refusal = { reason: 'leaving', verdict, retryAfterSeconds, detail };
+    return { refusal, crashNote: CrashNote.TargetDown };
+  }
+  const detail = 'The target crashed.';
+  const refusal: Refusal = { reason: 'unreachable', verdict, retryAfterSeconds, detail };
+  return { refusal, crashNote: isLikelyCause ? CrashNote.Suspect : CrashNote.TargetDown };
+}
--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -2,22 +2,29 @@
  * One call through the node beside its target: admission, claim of the idempotency key, the target,
  * the deadline. Pure: transport, clock and admission are injected.
  */
-import type { AdmissionController, AdmissionPermit } from '../admission/admission-controller.js';
+import type { AdmissionPermit } from '../admission/admission-controller.js';
 import type { PendingAdmission, AdmissionRefusal } from '../admission/admission-controller.js';
 import type { CongestionLevel } from '../admission/congestion-level.js';
 import type { SampleOutcome } from '../admission/concurrency-limiter.js';
-import type { Clock, Timer } from '../common/clock.js';
+import type { Timer } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
-import type { ClaimDecision, ClaimHandle, KeyClaims } from '../dedup/claim.js';
-import type { CrashGuard } from '../quarantine/crash-guard.js';
+import type { ClaimDecision, ClaimHandle } from '../dedup/claim.js';
 import { RunEnd, type TargetState, type WatchedRun } from '../quarantine/crash-watch.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
 import type { CallContext } from './call-context.js';
-import { KindUse, type KindServices } from './kind-use.js';
+import { KindUse } from './kind-use.js';
 import { NestedTime } from './nested-time.js';
-import { CrashNote, type LoadReport, type Outcome } from './outcome.js';
-import type { Refusal, RefusalReason } from './refusal.js';
-import { RepeatUse, type RepeatServices } from './repeat-use.js';
+import { judgeBrokenRun } from './broken-run.js';
+import { toldCongestion } from './gate-congestion.js';
+import type {
+  InboundCallOptions,
+  InboundListener,
+  InboundResult,
+  InboundServices,
+} from './inbound-services.js';
+import type { CrashNote, LoadReport, Outcome } from './outcome.js';
+import type { RefusalReason } from './refusal.js';
+import { RepeatUse } from './repeat-use.js';
 import type {
   AnswerFault,
   AnswerHead,
@@ -27,41 +34,6 @@
   TargetTransport,
 } from './transport.js';
 
-/** What the calls of one node share. */
-export interface InboundServices extends KindServices, RepeatServices {
-  readonly clock: Clock;
-  readonly admission: AdmissionController;
-  /** Whether the node is leaving and takes no new calls of this kind. */
-  readonly isLeaving: (kind: string) => boolean;
-  readonly claims: KeyClaims;
-  /** Another instance answered at the target's address. */
-  readonly onMisdirected?: (expectedInstance: string) => void;
-  /**
-   * Learn of calls that wait long or are refused here, by importance: urgent calls pass the others and
-   * may go on while those wait.
-   */
-  readonly queueLevels?: readonly CongestionLevel[];
-  /** Tells crashes of the target from connections that break. */
-  readonly crashGuard?: CrashGuard;
-}
-
-/** What a gate knows of a call besides its context. */
-export interface InboundCallOptions {
-  /** Whether the call is one that a target makes. */
-  readonly nested?: boolean;
-  /** A call that waits longer than this to be let in reports overload, in milliseconds. */
-  readonly congestedAfterMs?: number;
-}
-
-/** How a call through a node ended. */
-export type InboundResult =
-  | { readonly type: 'relayed' }
-  | { readonly type: 'broken'; readonly verdict: Verdict }
-  | { readonly type: 'refused'; readonly refusal: Refusal };
-
-/** Hears the one result of a call. */
-export type InboundListener = (result: InboundResult) => void;
-
 const LEAVING_RETRY_AFTER_SECONDS = 1;
 /** Part of its limit from which a target counts as full: reports of its slots may be a little old. */
 const FULL_PART = 0.8;
@@ -186,23 +158,11 @@
     };
   }
 
-  /**
-   * The level of what waits here and below, where this process keeps it. What waits here concerns
-   * those that work is lost with: callers of nested calls. A client's request that is refused here has
-   * cost nothing yet, so it need not be refused any earlier.
-   *
-   * A call that a target made passes the level below on in full if it is held up at all: weighed at each
-   * of several gates the level would be gone before it reaches those that can refuse early. It is weighed
-   * once, at the gate of the client's request.
-   */
   private congestion(): Pick<Outcome, 'congestion'> {
-    const { downstreamLevel, kindImpact } = this.services;
-    const { queueLevel } = this;
+    const { queueLevel, services, isNested } = this;
     if (queueLevel === undefined) return {};
-    const impact = kindImpact?.of(this.context.kind) ?? 1;
-    const level = downstreamLevel?.() ?? 0;
-    if (!this.isNested) return { congestion: impact * level };
-    return { congestion: Math.max(queueLevel.current(), impact > 0 ? level : 0) };
+    const held = queueLevel.current();
+    return { congestion: toldCongestion(services, this.context.kind, isNested, held) };
   }
 
   private loadReport(): LoadReport {
@@ -334,27 +294,17 @@
       this.refuse('bad-request', verdict, 0, 'The request body broke off.');
       return;
     }
-    if (targetState === undefined) this.refuseBroken(verdict);
-    else void targetState.then((state) => this.refuseAfterBreak(verdict, state));
+    if (targetState === undefined) {
+      this.finish({ type: 'refused', refusal: judgeBrokenRun(verdict, false, false).refusal });
+    } else void targetState.then((state) => this.refuseAfterBreak(verdict, state));
   }
 
-  private refuseAfterBreak(verdict: Verdict, { isDown, underWay }: TargetState): void {
-    if (!isDown) {
-      this.refuseBroken(verdict);
-      return;
-    }
-    this.crashNote = CrashNote.TargetDown;
-    if (verdict === 'not-run') {
-      this.refuse('leaving', verdict, LEAVING_RETRY_AFTER_SECONDS, 'The target is down.');
-      return;
-    }
+  private refuseAfterBreak(verdict: Verdict, state: TargetState): void {
     const { crashGuard } = this.services;
-    if (crashGuard?.isLikelyCause(this.run!, underWay) === true) this.crashNote = CrashNote.Suspect;
-    this.refuse('unreachable', verdict, 1, 'The target crashed.');
-  }
-
-  private refuseBroken(verdict: Verdict): void {
-    this.refuse('unreachable', verdict, 1, 'The connection to the target broke.');
+    const isLikelyCause = crashGuard?.isLikelyCause(this.run!, state.underWay) === true;
+    const { refusal, crashNote } = judgeBrokenRun(verdict, state.isDown, isLikelyCause);
+    this.crashNote = crashNote;
+    this.finish({ type: 'refused', refusal });
   }
 
   private onDeadline(): void {
--- a/src/call/node-inbound-server.ts
+++ b/src/call/node-inbound-server.ts
@@ -12,7 +12,8 @@
 import { CONTEXT_HEADER, LINK_HEADER, OUTCOME_HEADER, parseContext } from './call-context.js';
 import type { CallContext } from './call-context.js';
 import type { CallStats } from './call-stats.js';
-import { InboundCall, type InboundResult, type InboundServices } from './inbound-call.js';
+import { InboundCall } from './inbound-call.js';
+import type { InboundResult, InboundServices } from './inbound-services.js';
 import type { InboundRegistry } from './inbound-registry.js';
 import { formatOutcome, type Outcome } from './outcome.js';
 import type { Refusal } from './refusal.js';
