--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -4,6 +4,7 @@
 import type { CAC } from 'cac';
 import { UsageError } from '../../src/common/errors.js';
 import { drawPlan, type SoakPlan } from '../soak/soak-plan.js';
+import { drawCrashPlan } from '../soak/crash-plan.js';
 import { drawStopPlan } from '../soak/stop-plan.js';
 import { wholeNumber } from './options.js';
 
@@ -19,6 +20,7 @@
 const PROFILES: Readonly<Record<string, (seed: number, durationMs: number) => SoakPlan>> = {
   mixed: drawPlan,
   stops: drawStopPlan,
+  crashes: drawCrashPlan,
 };
 
 function profileOf(name: string): (seed: number, durationMs: number) => SoakPlan {
--- /dev/null
+++ b/lab/soak/crash-plan.ts
@@ -0,0 +1,74 @@
+/**
+ * Runs in which targets crash: by themselves, and under requests that come again and again; beside kills and restarts of
+ * sidecars and control replicas. Drawn from a seed. Pure.
+ */
+import { SeededRandom, type RandomSource } from '../../src/common/random.js';
+import { drawTimes, FaultKind, type PlannedFault, type SoakPlan } from './soak-plan.js';
+
+/** Spreads seeds that follow each other (the golden ratio, in 32 bits). */
+const SEED_FACTOR = 0x9e3779b1;
+const FRONT_MACHINES = 4;
+const BACK_MACHINES = 3;
+const REPLICAS = 3;
+const SLOTS = 48;
+const FIRST_FAULT_MS = 1_000;
+const FAULT_GAP_MS = 2_500;
+/** The calm begins this long before the end, in milliseconds. */
+const CALM_MS = 9_000;
+const DEADLINE_MS = 2_500;
+const DEADLY_KINDS: readonly FaultKind[] = [FaultKind.DeadlyRequest, FaultKind.DeadlyCall];
+const OTHER_KINDS: readonly FaultKind[] = [
+  FaultKind.CrashTarget,
+  FaultKind.CrashTarget,
+  FaultKind.KillSidecar,
+  FaultKind.StopSidecar,
+  FaultKind.KillControl,
+];
+
+/** Draws a run. @param durationMs length of the traffic in milliseconds, longer than the calm at its end */
+export function drawCrashPlan(seed: number, durationMs: number): SoakPlan {
+  const random = new SeededRandom(Math.imul(seed, SEED_FACTOR) >>> 0);
+  const untilMs = durationMs - CALM_MS;
+  return {
+    seed,
+    services: [
+      { name: 'front', machines: FRONT_MACHINES, slots: SLOTS, workMs: 20, callsPerRun: 1 },
+      { name: 'back', machines: BACK_MACHINES, slots: SLOTS, workMs: 15, callsPerRun: 0 },
+    ],
+    replicas: REPLICAS,
+    perSecond: 8 + random.below(8),
+    clientDeadlineMs: DEADLINE_MS,
+    timeoutMs: DEADLINE_MS,
+    nestedDeadlineMs: DEADLINE_MS,
+    durationMs,
+    calmMs: CALM_MS,
+    faults: [...drawDeadly(random, untilMs), ...drawOthers(random, untilMs)],
+    changesAtMs: [],
+    hasUniqueRequests: true,
+  };
+}
+
+/** One or two deadly requests, each until the calm begins. */
+function drawDeadly(random: RandomSource, untilMs: number): PlannedFault[] {
+  return Array.from({ length: 1 + random.below(2) }, (_, index) => {
+    const atMs = FIRST_FAULT_MS + random.below(3_000);
+    return {
+      kind: DEADLY_KINDS[random.below(DEADLY_KINDS.length)]!,
+      atMs,
+      forMs: untilMs - atMs,
+      victim: index,
+      part: 0,
+      gapMs: 300 + random.below(800),
+    };
+  });
+}
+
+function drawOthers(random: RandomSource, untilMs: number): PlannedFault[] {
+  return drawTimes(random, FIRST_FAULT_MS, untilMs, FAULT_GAP_MS).map((atMs) => ({
+    kind: OTHER_KINDS[random.below(OTHER_KINDS.length)]!,
+    atMs,
+    forMs: 300 + random.below(2_000),
+    victim: random.below(FRONT_MACHINES + BACK_MACHINES),
+    part: 0,
+  }));
+}
--- /dev/null
+++ b/lab/soak/deadly-client.ts
@@ -0,0 +1,54 @@
+/** Sends a request that crashes its targets, the same one each time, by any machine. */
+import { request } from 'undici';
+import type { RandomSource } from '../../src/common/random.js';
+import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
+import type { SoakMachine } from './soak-fleet.js';
+import { READ_PATH, SOAK_HOST } from './soak-operator.js';
+import { FaultKind, type PlannedFault } from './soak-plan.js';
+
+/** Begins the last part of the path of a request that crashes what runs it. */
+export const DEADLY_MARK = 'deadly-';
+/** Begins that of a request whose run makes such calls. */
+export const CALLS_DEADLY_MARK = 'calls-';
+
+/** What the sender works with. */
+export interface DeadlyWorld {
+  readonly random: RandomSource;
+  readonly machines: readonly SoakMachine[];
+  readonly deadlineMs: number;
+  readonly now: () => number;
+}
+
+export class DeadlyClient {
+  private sent = 0;
+
+  constructor(private readonly world: DeadlyWorld) {}
+
+  /** Sends the request of a fault until its time is over. */
+  async run(fault: PlannedFault): Promise<void> {
+    const { now, random, machines } = this.world;
+    const untilMs = now() + fault.forMs;
+    while (now() < untilMs) {
+      void this.send(machines[random.below(machines.length)]!, fault);
+      await new Promise((resolve) => setTimeout(resolve, fault.gapMs));
+    }
+  }
+
+  private async send({ outbound }: SoakMachine, { kind, victim }: PlannedFault): Promise<void> {
+    const last = DEADLY_MARK + victim;
+    const path = kind === FaultKind.DeadlyCall ? CALLS_DEADLY_MARK + last : last;
+    try {
+      const response = await request(outbound + READ_PATH + path, {
+        headers: {
+          host: SOAK_HOST,
+          [DEFAULT_TARGET_HEADERS.requestId]: `${last}-${(this.sent += 1)}`,
+          [DEFAULT_TARGET_HEADERS.deadlineMs]: String(this.world.deadlineMs),
+        },
+        signal: AbortSignal.timeout(this.world.deadlineMs),
+      });
+      await response.body.dump();
+    } catch {
+      // Its sidecar is down, or the target took the answer with it: nothing else is expected.
+    }
+  }
+}
--- a/lab/soak/run-soak.ts
+++ b/lab/soak/run-soak.ts
@@ -4,6 +4,7 @@
 import { request } from 'undici';
 import { UsageError } from '../../src/common/errors.js';
 import { SeededRandom } from '../../src/common/random.js';
+import { DeadlyClient } from './deadly-client.js';
 import { SoakClients } from './soak-clients.js';
 import { SoakFaults } from './soak-faults.js';
 import { RETRY_BOUND, SoakFleet, type SoakMachine } from './soak-fleet.js';
@@ -77,7 +78,14 @@
   ) {
     const { targets, record } = this;
     this.operator = new SoakOperator(plan, fleet.replicas, () => this.isOver);
-    this.faults = new SoakFaults({ fleet, targets, record, now: () => this.now() });
+    const now = (): number => this.now();
+    const deadly = new DeadlyClient({
+      random: new SeededRandom(plan.seed + 3),
+      machines: fleet.machines,
+      deadlineMs: plan.clientDeadlineMs,
+      now,
+    });
+    this.faults = new SoakFaults({ fleet, targets, record, deadly, now });
   }
 
   async play(): Promise<Violation[]> {
@@ -142,7 +150,8 @@
   }
 
   private async report({ index, service, registration }: SoakMachine, sequence: number) {
-    const { address, instance } = this.targets[index]!;
+    const { address, instance, isCrashed } = this.targets[index]!;
+    if (isCrashed) return;
     const { name, slots } = service;
     try {
       const response = await request(`${registration}/v1/instances/${instance}`, {
@@ -163,6 +172,7 @@
       now: () => this.now(),
       isOver: () => this.isOver,
       deadlineMs: this.plan.clientDeadlineMs,
+      hasUniqueRequests: this.plan.hasUniqueRequests === true,
     };
     for (const machine of this.fleet.machines) {
       const clients = new SoakClients(world, machine, this.plan.perSecond);
--- a/lab/soak/soak-clients.ts
+++ b/lab/soak/soak-clients.ts
@@ -9,6 +9,8 @@
 
 const MILLISECONDS = 1_000;
 const ONCE_PART = 0.3;
+/** Of the requests, where some come once only. */
+const UNIQUE_EVERY = 3;
 
 /** What the clients of a run share. */
 export interface ClientWorld {
@@ -18,6 +20,8 @@
   readonly isOver: () => boolean;
   /** Time that clients wait for an answer, in milliseconds. */
   readonly deadlineMs: number;
+  /** Whether some requests come once only. */
+  readonly hasUniqueRequests: boolean;
 }
 
 /** The clients of one machine. */
@@ -52,7 +56,8 @@
     const id = `c${machine}-${(this.sent += 1)}`;
     const sentAt = now();
     if (isOnce) record.onOnceSent(id);
-    const answer = await this.exchange(`${outbound}${isOnce ? PLACE_PATH : READ_PATH}1`, {
+    const last = this.world.hasUniqueRequests && this.sent % UNIQUE_EVERY === 0 ? id : '1';
+    const answer = await this.exchange(`${outbound}${isOnce ? PLACE_PATH : READ_PATH}${last}`, {
       id,
       isOnce,
     });
--- a/lab/soak/soak-faults.ts
+++ b/lab/soak/soak-faults.ts
@@ -1,4 +1,5 @@
 /** Injects the faults of a plan from outside: signals, the proxies of links, and what targets do wrong. */
+import type { DeadlyClient } from './deadly-client.js';
 import type { SoakFleet, SoakMachine, SoakProcess, SoakReplica } from './soak-fleet.js';
 import { GRACE_MS } from './soak-fleet.js';
 import { FaultKind, isOnControl, type PlannedFault } from './soak-plan.js';
@@ -14,6 +15,7 @@
   readonly fleet: SoakFleet;
   readonly targets: readonly SoakTarget[];
   readonly record: SoakRecord;
+  readonly deadly: DeadlyClient;
   readonly now: () => number;
 }
 
@@ -52,6 +54,7 @@
 
   /** What a fault takes hold of; control replicas together, so that most of them are there at any time. */
   private victimOf({ kind }: PlannedFault, machine: SoakMachine): object {
+    if (kind === FaultKind.DeadlyRequest || kind === FaultKind.DeadlyCall) return {};
     return isOnControl(kind) ? this.world.fleet.replicas : machine.process;
   }
 
@@ -60,11 +63,12 @@
   }
 
   private async act(
-    { kind, forMs, part, restartAfterMs = 0 }: PlannedFault,
+    fault: PlannedFault,
     machine: SoakMachine,
     replica: SoakReplica,
     target: SoakTarget,
   ): Promise<void> {
+    const { kind, forMs, part, restartAfterMs = 0 } = fault;
     const { misbehaviour } = target;
     switch (kind) {
       case FaultKind.KillSidecar:
@@ -109,6 +113,13 @@
         await pause(forMs);
         misbehaviour.lostPart = 0;
         return;
+      case FaultKind.CrashTarget:
+        await target.crash(forMs);
+        return;
+      case FaultKind.DeadlyRequest:
+      case FaultKind.DeadlyCall:
+        await this.world.deadly.run(fault);
+        return;
       case FaultKind.SlowTargets:
         misbehaviour.slowness = SLOWNESS;
         await pause(forMs);
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -15,6 +15,11 @@
   RejectCalls = 'reject-calls',
   LoseAnswers = 'lose-answers',
   SlowTargets = 'slow-targets',
+  /** A target ends by itself and is back after the fault's time. */
+  CrashTarget = 'crash-target',
+  /** A request comes again and again, and every target that begins it crashes; in the second case the calls that it causes. */
+  DeadlyRequest = 'deadly-request',
+  DeadlyCall = 'deadly-call',
 }
 
 /** One fault of the schedule. */
@@ -29,6 +34,8 @@
   readonly part: number;
   /** Milliseconds between the end of a stopped process and its next start. Default 0. */
   readonly restartAfterMs?: number;
+  /** Milliseconds from one arrival of a deadly request to the next. */
+  readonly gapMs?: number;
 }
 
 /** A service of the chain; each calls the next. */
@@ -59,9 +66,25 @@
   readonly faults: readonly PlannedFault[];
   /** When the operator changes the configuration, from the start of traffic. */
   readonly changesAtMs: readonly number[];
+  /** Whether some requests of clients come once only; otherwise all of a route are alike. Default false. */
+  readonly hasUniqueRequests?: boolean;
 }
 
-const KINDS = Object.values(FaultKind);
+/** Fixed, so that the plans of recorded seeds stay what they are. */
+const KINDS: readonly FaultKind[] = [
+  FaultKind.KillSidecar,
+  FaultKind.PauseSidecar,
+  FaultKind.StopSidecar,
+  FaultKind.ReloadSidecar,
+  FaultKind.KillControl,
+  FaultKind.PauseControl,
+  FaultKind.StopControl,
+  FaultKind.SilenceLinks,
+  FaultKind.ResetLinks,
+  FaultKind.RejectCalls,
+  FaultKind.LoseAnswers,
+  FaultKind.SlowTargets,
+];
 const MIN_SERVICES = 2;
 const EXTRA_SERVICES = 2;
 const MIN_MACHINES = 2;
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -16,6 +16,8 @@
   StopInTime = 'stop in time',
   Goodput = 'goodput',
   Recovery = 'recovery',
+  DeadlyBound = 'deadly requests bounded',
+  InnocentTaken = 'no innocent request quarantined',
 }
 
 /** A promise that was broken. */
@@ -31,6 +33,8 @@
   readonly machine: number;
   /** Whether a target made it. */
   readonly isNested: boolean;
+  /** Whether targets crash under it. Default false. */
+  readonly isDeadly?: boolean;
   /** How long its sender waits, in milliseconds. */
   readonly deadlineMs: number;
   readonly sentAt: number;
@@ -55,6 +59,13 @@
   readonly recoveredAt: number;
 }
 
+/** A request that crashes its targets is kept from them this long after so many crashes, in milliseconds, but for a few. */
+const CRASHES_TO_KNOW = 3;
+const TIME_TO_KNOW_MS = 3_000;
+const MAX_LATE_RUNS = 3;
+/** In the body of a refusal for it. */
+const QUARANTINE_PROBLEM = 'problem:quarantined';
+
 const STATUS_OK = 200;
 const STATUS_FAILED = 500;
 /** A request that was sent in the first half of a stop may last into its last sixth: no stop can wait longer. */
@@ -65,6 +76,12 @@
 /** A request that nothing else has disturbed this long before its end was cut by the stop, in milliseconds. */
 const UNDISTURBED_MS = 3_000;
 
+/** When a request that crashes its targets was begun, and when they crashed under it, in milliseconds. */
+interface DeadlyHistory {
+  readonly runsAt: number[];
+  readonly crashesAt: number[];
+}
+
 export class SoakRecord {
   readonly arrivals = new ArrivalLedger();
   private readonly runs = new Map<string, number>();
@@ -72,6 +89,7 @@
   private readonly endings: Ending[] = [];
   private readonly stops: Disturbance[] = [];
   private readonly disturbances: Disturbance[] = [];
+  private readonly deadly = new Map<string, DeadlyHistory>();
   private readonly found: Violation[] = [];
   private readonly chances = new Map<Check, number>();
 
@@ -80,6 +98,16 @@
     this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
   }
 
+  /** A target begins a request that crashes it. */
+  onDeadlyRun(name: string, atMs: number): void {
+    this.deadlyHistory(name).runsAt.push(atMs);
+  }
+
+  /** A target crashes under such a request. */
+  onDeadlyCrash(name: string, atMs: number): void {
+    this.deadlyHistory(name).crashesAt.push(atMs);
+  }
+
   /** A client sends a request that may run at most once. */
   onOnceSent(id: string): void {
     this.onceIds.add(id);
@@ -118,6 +146,7 @@
     this.checkRuns();
     for (const ending of this.endings) this.checkEnding(ending);
     this.checkRetries(bounds);
+    this.checkDeadly();
     const ofClients = this.endings.filter(({ isNested }) => !isNested);
     this.checkServed(Check.Goodput, bounds.leastServed, ofClients);
     const atEnd = ofClients.filter(({ sentAt }) => sentAt >= bounds.recoveredAt);
@@ -160,6 +189,14 @@
       }
     }
     this.checkStop(ending);
+    this.checkInnocence(ending);
+  }
+
+  private checkInnocence({ id, isDeadly = false, body }: Ending): void {
+    if (isDeadly || this.deadly.size === 0) return;
+    this.count(Check.InnocentTaken);
+    if (!body.includes(QUARANTINE_PROBLEM)) return;
+    this.found.push({ check: Check.InnocentTaken, detail: `${id} was quarantined` });
   }
 
   /**
@@ -186,6 +223,26 @@
     this.found.push({ check: Check.CleanStop, detail });
   }
 
+  private checkDeadly(): void {
+    for (const [name, { runsAt, crashesAt }] of this.deadly) {
+      const third = crashesAt[CRASHES_TO_KNOW - 1];
+      if (third === undefined) continue;
+      this.count(Check.DeadlyBound);
+      const late = runsAt.filter((at) => at > third + TIME_TO_KNOW_MS).length;
+      if (late <= MAX_LATE_RUNS) continue;
+      const detail = `${name} began ${late} times later than ${TIME_TO_KNOW_MS} ms after its third crash`;
+      this.found.push({ check: Check.DeadlyBound, detail });
+    }
+  }
+
+  private deadlyHistory(name: string): DeadlyHistory {
+    const existing = this.deadly.get(name);
+    if (existing !== undefined) return existing;
+    const created = { runsAt: [], crashesAt: [] };
+    this.deadly.set(name, created);
+    return created;
+  }
+
   private checkRetries({ retries }: SoakBounds): void {
     this.count(Check.RetryBudget);
     const worst = this.arrivals.worst(retries);
--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -7,6 +7,7 @@
 import { request } from 'undici';
 import type { RandomSource } from '../../src/common/random.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
+import { CALLS_DEADLY_MARK, DEADLY_MARK } from './deadly-client.js';
 import { noAnswer, wholeAnswer, type ExchangeEnd } from './exchange-end.js';
 import { answerBody, type SoakRecord } from './soak-record.js';
 import type { SoakService } from './soak-plan.js';
@@ -41,6 +42,8 @@
   readonly isRepeat: boolean;
   readonly response: ServerResponse;
   readonly deadlineAt: number;
+  /** Last part of the path of the calls that it makes. */
+  readonly call: string;
 }
 
 /** What a target needs to know of its place. */
@@ -52,6 +55,12 @@
   readonly outboundOrigin: string;
 }
 
+/** How long a target runs a request that crashes it, and how long it is down then, in milliseconds. */
+const LEAST_CRASH_MS = 40;
+const EXTRA_CRASH_MS = 80;
+const LEAST_DOWN_MS = 1_500;
+const EXTRA_DOWN_MS = 1_500;
+
 const NAMES = DEFAULT_TARGET_HEADERS;
 const STATUS_OK = 200;
 const STATUS_FAILED = 500;
@@ -60,8 +69,11 @@
 const STATUS_TOO_LATE = 504;
 
 export class SoakTarget {
+  private starts = 1;
+  private isDown = false;
   readonly misbehaviour: TargetMisbehaviour = { rejectedPart: 0, lostPart: 0, slowness: 1 };
   private running = 0;
+  private port = 0;
   private nextNested = 0;
   private readonly sockets = new Set<Socket>();
 
@@ -80,16 +92,17 @@
       socket.once('close', () => target.sockets.delete(socket));
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    target.port = (server.address() as AddressInfo).port;
     return target;
   }
 
   get instance(): string {
-    return `instance-${this.place.machine}`;
+    return `instance-${this.place.machine}-${this.starts}`;
   }
 
   /** `HOST:PORT` that it serves. */
   get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.port}`;
   }
 
   stop(): void {
@@ -97,6 +110,24 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** Whether it says nothing, and refuses connections. */
+  get isCrashed(): boolean {
+    return this.isDown;
+  }
+
+  /** Ends like a process that crashes, and is back as another incarnation at the same address. */
+  async crash(downMs: number): Promise<void> {
+    if (this.isDown) return;
+    this.isDown = true;
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+    await pause(downMs);
+    this.starts += 1;
+    this.running = 0;
+    await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
+    this.isDown = false;
+  }
+
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     message.resume();
     const id = headerOf(message, NAMES.requestId);
@@ -112,14 +143,33 @@
       return;
     }
     this.world.record.onRun(id);
+    const last = lastPart(message.url);
+    if (last.startsWith(DEADLY_MARK)) {
+      await this.crashUnder(last);
+      return;
+    }
     this.running += 1;
     const deadlineAt = this.world.now() + Number(headerOf(message, NAMES.deadlineMs));
-    const status = await this.run({ id, isRepeat, response, deadlineAt });
+    const { starts } = this;
+    const call = last.startsWith(CALLS_DEADLY_MARK) ? last.slice(CALLS_DEADLY_MARK.length) : '1';
+    const status = await this.run({ id, isRepeat, response, deadlineAt, call });
+    if (this.starts !== starts || this.isDown) return;
     this.running -= 1;
     if (this.world.random.next() < this.misbehaviour.lostPart) response.socket?.destroy();
     else response.writeHead(status).end(answerBody(id));
   }
 
+  /** Begins a request that crashes it. */
+  private async crashUnder(name: string): Promise<void> {
+    const { record, random, now } = this.world;
+    record.onDeadlyRun(name, now());
+    const { starts } = this;
+    await pause(LEAST_CRASH_MS + random.below(EXTRA_CRASH_MS));
+    if (this.starts !== starts || this.isDown) return;
+    record.onDeadlyCrash(name, now());
+    await this.crash(LEAST_DOWN_MS + random.below(EXTRA_DOWN_MS));
+  }
+
   /** @returns whether the arrival is a repeat */
   private countArrival(id: string): boolean {
     const { record, inherited, arrived, now } = this.world;
@@ -152,23 +202,27 @@
   }
 
   /** @returns whether the next service answered with success */
-  private async callNext({ id: parent, isRepeat, deadlineAt }: TargetRun): Promise<boolean> {
+  private async callNext({ id: parent, isRepeat, deadlineAt, call }: TargetRun): Promise<boolean> {
     const { record, inherited, now, nestedDeadlineMs } = this.world;
     const { machine } = this.place;
     const id = `${parent}/${this.instance}-${(this.nextNested += 1)}`;
     if (isRepeat) inherited.add(id);
     const sentAt = now();
     const deadlineMs = Math.max(1, Math.floor(Math.min(deadlineAt - sentAt, nestedDeadlineMs)));
-    const answer = await this.exchange(id, deadlineMs);
+    const answer = await this.exchange(id, deadlineMs, call);
     const endedAt = now();
-    record.onEnding({ id, machine, isNested: true, deadlineMs, sentAt, endedAt, ...answer });
+    const isDeadly = call.startsWith(DEADLY_MARK);
+    record.onEnding({
+      ...{ id, machine, isNested: true, isDeadly, deadlineMs, sentAt, endedAt },
+      ...answer,
+    });
     return answer.status === STATUS_OK;
   }
 
-  private async exchange(id: string, deadlineMs: number): Promise<ExchangeEnd> {
+  private async exchange(id: string, deadlineMs: number, call: string): Promise<ExchangeEnd> {
     const { outboundOrigin, nextPath } = this.place;
     try {
-      const response = await request(`${outboundOrigin}${nextPath}1`, {
+      const response = await request(`${outboundOrigin}${nextPath}${call}`, {
         headers: {
           host: this.world.host,
           [NAMES.requestId]: id,
@@ -191,3 +245,11 @@
   const value = message.headers[name];
   return (Array.isArray(value) ? value[0] : value) ?? '';
 }
+
+function lastPart(url = ''): string {
+  return url.slice(url.lastIndexOf('/') + 1);
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/test/lab/soak.test.ts
+++ b/test/lab/soak.test.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { drawCrashPlan } from '../../lab/soak/crash-plan.js';
 import { drawStopPlan } from '../../lab/soak/stop-plan.js';
 import { drawPlan } from '../../lab/soak/soak-plan.js';
 import { answerBody, Check, SoakRecord, type SoakBounds } from '../../lab/soak/soak-record.js';
@@ -12,6 +13,8 @@
 const CI_DURATION_MS = 20_000;
 const CI_STOP_SEED = 106;
 const CI_STOP_DURATION_MS = 24_000;
+const CI_CRASH_SEED = 1;
+const CI_CRASH_DURATION_MS = 22_000;
 /** Fewer requests around stops than this would say nothing. */
 const LEAST_CHANCES = 20;
 
@@ -101,6 +104,26 @@
         }),
     },
   ];
+  cases.push(
+    {
+      check: Check.DeadlyBound,
+      run: () =>
+        found(200, (record) => {
+          for (const at of [0, 500, 1_000]) record.onDeadlyCrash('deadly-0', at);
+          for (let each = 0; each < 4; each += 1) record.onDeadlyRun('deadly-0', 4_100 + each);
+        }),
+    },
+    {
+      check: Check.InnocentTaken,
+      run: () =>
+        found(200, (record) => {
+          record.onDeadlyRun('deadly-0', 0);
+          const body = '{"type":"urn:shoredoor:problem:quarantined"}';
+          const refused = { ...OF_CLIENT, sentAt: 0, endedAt: 1, status: 503 };
+          record.onEnding({ ...refused, id: 'twin', body });
+        }),
+    },
+  );
   for (const { check, run } of cases) {
     it(`find a run in which this does not hold: ${check}`, () => {
       expect(run()).to.deep.equal([check]);
@@ -175,6 +198,17 @@
     rmSync(folder, { recursive: true, force: true });
   });
 
+  it('keeps requests that crash their targets from them, and no others', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
+    const plan = drawCrashPlan(CI_CRASH_SEED, CI_CRASH_DURATION_MS);
+    const { violations, chances } = await runSoak(plan, folder);
+    expect(violations, `logs: ${folder}`).to.deep.equal([]);
+    for (const check of [Check.DeadlyBound, Check.InnocentTaken]) {
+      expect(chances.get(check), check).to.be.above(0);
+    }
+    rmSync(folder, { recursive: true, force: true });
+  });
+
   it('breaks no promise', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
     const { violations, chances } = await runSoak(drawPlan(CI_SEED, CI_DURATION_MS), folder);
