Blame a request until its quarantine is written; an incarnation that listens again is up

Cause: evidence was looked at for 1.4 s after its last change only, so a store without a quorum then would have left the request free until its next crash; the reason for it, the cost of a look, is gone with suspicions read once a version. And a crash stayed with an incarnation whose port answers again. Tests for both.

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -49,8 +49,9 @@
   /** By the incarnation that ended, oldest first. One without fingerprints is known and speaks against none. */
   private readonly crashes = new Map<string, Crash>();
   private version = 1;
-  /** Nothing new is to be found long after the last change. */
-  private changedAt = -Infinity;
+  /** Of the version that they were read at: many followers ask for the same list. */
+  private suspicionsRead:
+    { readonly version: number; readonly all: Map<string, Suspicion> } | undefined;
   /** Requests in quarantine: they are not blamed again. */
   private inForce: ReadonlySet<string> = new Set();
   /** Requests whose quarantine has ended: the first crash makes them suspect. */
@@ -112,7 +113,7 @@
 
   /** Requests that are to be blamed now, the most suspect first. */
   blamed(): string[] {
-    if (this.clock.now() - this.changedAt > 2 * HEARING_MS) return [];
+    if (this.crashes.size < CRASHES_TO_BLAME) return [];
     const suspicions = [...this.suspicions()]
       .filter(([, { crashes }]) => crashes.length >= CRASHES_TO_BLAME)
       .filter(([name]) => !this.inForce.has(name) && !this.probation.has(name))
@@ -159,7 +160,6 @@
 
   private onChange(): void {
     this.version += 1;
-    this.changedAt = this.clock.now();
   }
 
   private forgetOld(): void {
@@ -170,7 +170,15 @@
     }
   }
 
-  private suspicions(): Map<string, Suspicion> {
+  private suspicions(): ReadonlyMap<string, Suspicion> {
+    const { version } = this;
+    if (this.suspicionsRead?.version !== version) {
+      this.suspicionsRead = { version, all: this.readSuspicions() };
+    }
+    return this.suspicionsRead.all;
+  }
+
+  private readSuspicions(): Map<string, Suspicion> {
     const suspicions = new Map<string, Suspicion>();
     for (const crash of this.crashes.values()) {
       for (const fingerprint of crash.fingerprints) {
--- a/src/quarantine/crash-watch.ts
+++ b/src/quarantine/crash-watch.ts
@@ -122,6 +122,7 @@
     const refuses = await this.options.refusesConnections(address);
     this.probe = undefined;
     if (refuses) this.onCrash(instance);
+    else this.crashed.delete(instance);
   }
 
   private onCrash(instance: string): void {
--- a/test/quarantine/crash-evidence.test.ts
+++ b/test/quarantine/crash-evidence.test.ts
@@ -96,6 +96,14 @@
     expect(blamed()).to.have.members([of('bad'), of('companion')]);
   });
 
+  it('goes on blaming a request until its quarantine is known, however long that takes', () => {
+    for (let each = 0; each < 3; each += 1) crash('bad');
+    clock.advance(60_000);
+    expect(evidence.blamed()).to.deep.equal([of('bad')]);
+    evidence.adopt([{ fingerprint: of('bad'), inForce: true }]);
+    expect(evidence.blamed()).to.deep.equal([]);
+  });
+
   it('blames several requests that crash targets at the same time', () => {
     for (let each = 0; each < 3; each += 1) {
       crash('bad', `a-${each}`);
--- a/test/quarantine/crash-watch.test.ts
+++ b/test/quarantine/crash-watch.test.ts
@@ -61,6 +61,17 @@
     expect(goodEnds).to.deep.equal(['answered']);
   });
 
+  it('takes an incarnation that listens again for up', async () => {
+    refuses = true;
+    const broken = watch.begin('broken');
+    broken.end(RunEnd.Lost);
+    expect((await broken.targetState()).isDown).to.equal(true);
+    refuses = false;
+    const lost = watch.begin('lost-answer');
+    lost.end(RunEnd.Lost);
+    expect((await lost.targetState()).isDown).to.equal(false);
+  });
+
   it('knows of a crash from the next incarnation, also where the port answered again', () => {
     watch.begin('lost').end(RunEnd.Lost);
     target = report('second');
