Groups of callers in the declared set: keys, rank, rate

Change: a resource Group (keys, rank, ratePerSecond, burst) beside Route, Service and Ingress; one GroupTable for the groups of policies and of declared sets; two groups with one key make a set invalid, and the fault names the groups, not the key. Unknown fields are kept.

--- a/lab/simulator/sidecars/call-graph.ts
+++ b/lab/simulator/sidecars/call-graph.ts
@@ -67,6 +67,7 @@
       rank,
       importance: Math.max(0, HIGHEST_RANKED - rank) as Importance,
       maxTargets: MAX_TARGETS,
+      anonymous: false,
       backends: [{ service: sketch.service, weight: 1 }],
     },
   };
--- a/src/http/target-headers.ts
+++ b/src/http/target-headers.ts
@@ -21,6 +21,10 @@
   readonly instanceId: string;
   /** In answers: requests running, requests waiting, and slots, with commas between them. */
   readonly load: string;
+  /** API key of the caller; targets do not get it. */
+  readonly apiKey: string;
+  /** To targets: name of the group whose key the caller presented. */
+  readonly group: string;
 }
 
 export const DEFAULT_TARGET_HEADERS: TargetHeaders = {
@@ -31,6 +35,8 @@
   notExecuted: 'x-request-rejected',
   instanceId: 'x-answering-instance',
   load: 'x-load',
+  apiKey: 'x-api-key',
+  group: 'x-caller-group',
 };
 
 const STATUS_MISDIRECTED = 421;
--- a/src/policy/policy-table.ts
+++ b/src/policy/policy-table.ts
@@ -3,6 +3,7 @@
  * gives a new table, and a call keeps the table it started with.
  */
 import type { Fault } from '../common/errors.js';
+import { GroupTable, type Group } from './group-table.js';
 import { importanceFromName, type Importance } from './importance.js';
 import { PathPattern } from './path-pattern.js';
 import { ingressLimits, RouteTable, type IngressLimits } from './route-table.js';
@@ -29,11 +30,7 @@
   readonly retryRatio: number;
 }
 
-/** A group as looked up for each call. */
-export interface Group {
-  readonly name: string;
-  readonly share: number;
-}
+export type { Group } from './group-table.js';
 
 interface KindPattern {
   readonly pattern: PathPattern;
@@ -43,19 +40,14 @@
 /** Methods whose requests may be repeated by definition (RFC 9110, section 9.2.2). */
 const IDEMPOTENT_METHODS: readonly string[] = ['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS', 'TRACE'];
 
-/** Share of a group that no policy names, relative to declared shares. */
-const UNKNOWN_GROUP_SHARE = 1e-3;
-
 /** Compiled lookups over all declared resources of one revision. */
 export class PolicyTable {
-  private readonly groupsByName = new Map<string, Group>();
-  private readonly groupsByKeyHash = new Map<string, Group>();
   private readonly kindsByName = new Map<string, RequestKind>();
   private readonly routesByMethod = new Map<string, KindPattern[]>();
   private readonly servicesByName = new Map<string, ServiceSpec>();
   private readonly quarantines = new Map<string, QuarantineResource['spec']>();
   private defaultGroup: Group | undefined;
-  private declaredShare = 0;
+  readonly groups = new GroupTable();
   /** The routes of the declared set. */
   readonly routes: RouteTable;
   readonly ingress: IngressLimits;
@@ -73,6 +65,7 @@
     for (const resource of resources) {
       if (resource.kind === 'Policy') this.addPolicy(resource);
       if (resource.kind === 'Service') this.addService(resource);
+      if (resource.kind === 'Group') this.groups.addResource(resource);
       if (resource.kind === 'Route') routes.push(resource);
       if (resource.kind === 'Quarantine') this.quarantines.set(resource.name, resource.spec);
       if (resource.kind === 'Ingress') ingress = resource;
@@ -90,14 +83,9 @@
   }
 
   private addPolicy(policy: PolicyResource): void {
-    for (const declaration of policy.spec.groups) {
-      const group: Group = { name: declaration.name, share: declaration.share };
-      this.groupsByName.set(group.name, group);
-      this.declaredShare += group.share;
-      for (const hash of declaration.keyHashes) this.groupsByKeyHash.set(hash, group);
-    }
+    for (const declaration of policy.spec.groups) this.groups.addDeclaration(declaration);
     const { defaultGroup } = policy.spec;
-    if (defaultGroup !== undefined) this.defaultGroup = this.groupsByName.get(defaultGroup);
+    if (defaultGroup !== undefined) this.defaultGroup = this.groups.get(defaultGroup);
     for (const declaration of policy.spec.kinds) this.addKind(policy, declaration);
   }
 
@@ -134,17 +122,17 @@
   /** The group whose callers present an API key with this SHA-256 hash, else the default group. */
   groupOfKeyHash(hash: string | undefined): Group | undefined {
     if (hash === undefined) return this.defaultGroup;
-    return this.groupsByKeyHash.get(hash) ?? this.defaultGroup;
+    return this.groups.ofKeyHash(hash) ?? this.defaultGroup;
   }
 
   /** Weight of the group; tiny for a group that this revision does not know. */
   shareOf(groupName: string): number {
-    return this.groupsByName.get(groupName)?.share ?? UNKNOWN_GROUP_SHARE;
+    return this.groups.shareOf(groupName);
   }
 
   /** Sum of the weights of all declared groups, at least one unknown group's. */
   get totalShare(): number {
-    return this.declaredShare + UNKNOWN_GROUP_SHARE;
+    return this.groups.totalShare;
   }
 
   /** The quarantine of the request with this fingerprint, in force or ended lately. */
@@ -171,7 +159,7 @@
 
   /** Names of all groups. */
   groupNames(): string[] {
-    return [...this.groupsByName.keys()].sort();
+    return this.groups.names();
   }
 
   /**
--- a/src/policy/resource-schema.ts
+++ b/src/policy/resource-schema.ts
@@ -7,6 +7,7 @@
 import type { Fault } from '../common/errors.js';
 import { IMPORTANCE_NAMES } from './importance.js';
 import { PATH_PATTERN_SYNTAX } from './path-pattern.js';
+import { groupResourceSchema } from './group-schema.js';
 import { ingressResourceSchema, routeResourceSchema } from './route-schema.js';
 
 const MAX_DEADLINE_MS = 600_000;
@@ -165,6 +166,7 @@
   quarantineResourceSchema,
   routeResourceSchema,
   ingressResourceSchema,
+  groupResourceSchema,
 ]);
 
 export type PolicyResource = z.infer<typeof policyResourceSchema>;
@@ -190,6 +192,7 @@
   'Quarantine',
   'Route',
   'Ingress',
+  'Group',
 ];
 
 /** The settings of a service for which no `Service` resource is declared. */
--- a/src/policy/route-schema.ts
+++ b/src/policy/route-schema.ts
@@ -1,20 +1,19 @@
 /**
  * The resources of a declared set (see `control/declaration-api.ts`): `Route` (which requests go to
- * which services, and what they are worth), `Ingress` (limits on what clients may send), and
- * `Service`. Specs are kept as they were declared, fields that this version does not know included,
+ * which services, and what they are worth), `Ingress` (limits on what clients may send), `Group` (who
+ * may call, and how often), and `Service`. Specs are kept as they were declared, fields that this version does not know included,
  * so that a set reads back as it was written; defaults are applied where routes are compiled.
  */
 import { z } from 'zod';
 import type { Fault } from '../common/errors.js';
 import { faultsOf } from '../common/validate.js';
+import { declaredNameSchema, groupResourceSchema, sharedKeyFaults } from './group-schema.js';
 
 const MAX_TIME_MS = 3_600_000;
-const MAX_NAME_LENGTH = 200;
 const MAX_HOST_LENGTH = 253;
 const MAX_PREFIX_LENGTH = 4_096;
 const MAX_TARGETS = 1_000;
 
-const declaredNameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 const timeSchema = z.number().positive('must be greater than 0').max(MAX_TIME_MS);
 
 /**
@@ -48,6 +47,8 @@
     /** The one service that serves the route, where there are no backends. */
     service: declaredNameSchema.optional(),
     backends: z.array(backendSchema).min(1).optional(),
+    /** Whether requests need no API key. Default false. */
+    anonymous: z.boolean().optional(),
   })
   .refine((spec) => (spec.service === undefined) !== (spec.backends === undefined), {
     path: ['service'],
@@ -94,6 +95,7 @@
   routeResourceSchema,
   ingressResourceSchema,
   declaredServiceSchema,
+  groupResourceSchema,
 ]);
 
 export type RouteResource = z.infer<typeof routeResourceSchema>;
@@ -103,7 +105,12 @@
 export type DeclaredResource = z.infer<typeof declaredResourceSchema>;
 
 /** The kinds that a declared set consists of. */
-export const SET_KINDS: readonly DeclaredResource['kind'][] = ['Route', 'Service', 'Ingress'];
+export const SET_KINDS: readonly DeclaredResource['kind'][] = [
+  'Route',
+  'Service',
+  'Ingress',
+  'Group',
+];
 
 /** The services that a route names. */
 export function servicesOf(spec: RouteSpec): string[] {
@@ -144,5 +151,8 @@
       faults.push({ path: `resources[${index}].spec`, message: `no service '${service}'` });
     }
   });
-  return faults;
+  const groups = resources.flatMap((resource, index) =>
+    resource.kind === 'Group' ? [{ index, group: resource }] : [],
+  );
+  return [...faults, ...sharedKeyFaults(groups)];
 }
--- a/src/policy/route-table.ts
+++ b/src/policy/route-table.ts
@@ -25,6 +25,8 @@
   readonly importance: Importance;
   readonly maxTargets: number;
   readonly backends: readonly Backend[];
+  /** Whether requests need no API key. */
+  readonly anonymous: boolean;
 }
 
 /** Limits on what clients may send, with defaults. */
@@ -92,6 +94,7 @@
     importance: importanceOfRank(rank),
     maxTargets: spec.maxTargets ?? DEFAULT_MAX_TARGETS,
     backends: spec.backends ?? servicesOf(spec).map((service) => ({ service, weight: 1 })),
+    anonymous: spec.anonymous ?? false,
   };
 }
 
--- a/test/call/come-back.test.ts
+++ b/test/call/come-back.test.ts
@@ -22,6 +22,7 @@
     rank: 1,
     importance: 2,
     maxTargets: 2,
+    anonymous: false,
     backends: [],
   });
 
--- a/test/routing/weighted-split.test.ts
+++ b/test/routing/weighted-split.test.ts
@@ -14,6 +14,7 @@
     rank: 0,
     importance: 3,
     maxTargets: 1,
+    anonymous: false,
     backends: weights.map((weight, index) => ({ service: `s${index}`, weight })),
   };
 }
