Tell the starts of a target apart by id and time of start; reports of another writer name no target

Cause: an id alone named an incarnation in the lease, the pool of connections, the watch for crashes and the announcement. A target that starts again under its id was taken for the one before: its reports (count from 1) were ignored as old ones, its crash went unseen. Reports with a service that is not declared, without a count, or a torn leave were taken. Change: Incarnation (instance, born) in one module; one that says it started later takes over at once; a health check tells the id alone, and the first report adds the start.

--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -219,7 +219,7 @@
 
   private onHead(head: AnswerHead): HeadDecision {
     if (head.fault !== undefined) {
-      this.onFaultyAnswer(head.fault, head.expectedInstance);
+      this.onFaultyAnswer(head.fault, head.expectedIncarnation);
       return 'discard';
     }
     this.answerBegan = true;
@@ -256,7 +256,7 @@
     return waiting > 0 || inFlight >= FULL_PART * limit;
   }
 
-  private onFaultyAnswer(fault: AnswerFault, expectedInstance: string | undefined): void {
+  private onFaultyAnswer(fault: AnswerFault, expectedIncarnation: string | undefined): void {
     const isFull = this.isTargetFull();
     this.release('dropped');
     if (fault !== 'foreign') {
@@ -264,7 +264,7 @@
       this.rejectedByTarget = true;
       this.claim?.release();
       this.refusedForOverload = fault === 'not-executed' && isFull;
-      if (fault === 'misdirected') this.services.onMisdirected?.(expectedInstance ?? '');
+      if (fault === 'misdirected') this.services.onMisdirected?.(expectedIncarnation ?? '');
       const reason = this.refusedForOverload ? 'overload' : 'unavailable';
       this.refuse(reason, 'not-run', 1, 'The target turned the request away.');
       return;
--- a/src/call/inbound-services.ts
+++ b/src/call/inbound-services.ts
@@ -17,7 +17,7 @@
   readonly isLeaving: (kind: string) => boolean;
   readonly claims: KeyClaims;
   /** Another instance answered at the target's address. */
-  readonly onMisdirected?: (expectedInstance: string) => void;
+  readonly onMisdirected?: (expectedIncarnation: string) => void;
   /**
    * Learn of calls that wait long or are refused here, by importance: urgent calls pass the others and
    * may go on while those wait.
--- a/src/call/transport.ts
+++ b/src/call/transport.ts
@@ -36,8 +36,8 @@
 export interface AnswerHead {
   /** Set where this is not the target's answer to the request. */
   readonly fault?: AnswerFault | undefined;
-  /** Incarnation of the target that was to answer; set by sidecars. */
-  readonly expectedInstance?: string | undefined;
+  /** Name of the incarnation of the target that was to answer; set by sidecars. */
+  readonly expectedIncarnation?: string | undefined;
   readonly status: number;
   /** The node's outcome; undefined from a target, or when the header was missing. */
   readonly outcome: Outcome | undefined;
--- a/src/http/gate-transport.ts
+++ b/src/http/gate-transport.ts
@@ -54,7 +54,7 @@
       readHead: (status, headers) => ({
         status,
         outcome: undefined,
-        expectedInstance: target?.instance,
+        expectedIncarnation: target?.incarnation,
         fault:
           answerFault(names, requestId, status, headers) ??
           (allowsUnframed || isFramed(status, headers) ? undefined : 'foreign'),
--- a/src/http/instance-pool.ts
+++ b/src/http/instance-pool.ts
@@ -1,6 +1,7 @@
 /** A sidecar's connections to the present incarnation of its target; a new one gets new ones. */
 import type { Dispatcher, Pool } from 'undici';
 import type { Clock } from '../common/clock.js';
+import { incarnationName } from '../membership/incarnation.js';
 import type { TargetReport } from '../membership/target-lease.js';
 import { CONNECT_TIMEOUT_MS, createPool } from './connection-pools.js';
 import { AnswerTimes } from './answer-times.js';
@@ -16,6 +17,8 @@
 export interface TargetConnection {
   readonly dispatcher: Dispatcher;
   readonly instance: string;
+  /** Name of the incarnation. */
+  readonly incarnation: string;
   /** Whether an answer that ends now was cut off by a reset. */
   readonly isResetting: () => boolean;
   readonly answerTimes: AnswerTimes;
@@ -25,7 +28,8 @@
 
 export class InstancePool {
   private pool: Pool | undefined;
-  private instance = '';
+  /** Name of the incarnation that the connections lead to. */
+  private incarnation = '';
   private connections = DEFAULT_CONNECTIONS;
   private readonly resets = new ResetWatch(CONNECT_TIMEOUT_MS);
   private answerTimes = new AnswerTimes();
@@ -36,13 +40,16 @@
   /** Connections to the target with this report; undefined when there is none. */
   target(report: TargetReport | undefined): TargetConnection | undefined {
     if (report === undefined) return undefined;
-    if (this.pool === undefined || this.instance !== report.instance) this.open(report);
+    if (this.pool === undefined || this.incarnation !== incarnationName(report)) {
+      this.open(report);
+    }
     const isResetting = (): boolean => this.resets.isResetting;
     const { answerTimes } = this;
     const onUnanswered = (waitedMs: number): void => this.onUnanswered(report, waitedMs);
     return {
       dispatcher: this.pool!,
       instance: report.instance,
+      incarnation: this.incarnation,
       isResetting,
       answerTimes,
       onUnanswered,
@@ -68,15 +75,17 @@
    */
   private onUnanswered(report: TargetReport, waitedMs: number): void {
     const now = this.clock.now();
-    if (report.instance !== this.instance || !this.answerTimes.isSuspicious(waitedMs)) return;
+    if (incarnationName(report) !== this.incarnation || !this.answerTimes.isSuspicious(waitedMs))
+      return;
     if (now - this.exchangedAt < MIN_EXCHANGE_GAP_MS) return;
     this.exchangedAt = now;
     this.open(report);
   }
 
   private open(report: TargetReport): void {
-    if (report.instance !== this.instance) this.answerTimes = new AnswerTimes();
-    this.instance = report.instance;
+    const incarnation = incarnationName(report);
+    if (incarnation !== this.incarnation) this.answerTimes = new AnswerTimes();
+    this.incarnation = incarnation;
     const { connections, resets } = this;
     const options = { connections, keepAliveMs: IDLE_MS, connector: resets.connector };
     this.replace(createPool(`http://${report.address}`, options));
--- a/src/membership/registration-api.ts
+++ b/src/membership/registration-api.ts
@@ -14,19 +14,28 @@
 const INSTANCE_PATH = /^\/v1\/instances\/([^/?]+)$/;
 const MAX_BODY_BYTES = 16 * 1024;
 
+/** Milliseconds since 1970 at which the target started. */
+const bornSchema = z.number().int().min(0);
 const reportSchema = z.looseObject({
   service: z.string().min(1).max(200),
   address: z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/, 'must be ADDRESS:PORT'),
   slots: z.number().int().min(1),
   state: z.enum(['ready', 'leaving']),
-  sequence: z.number().int().min(0).default(0),
+  sequence: z.number().int().min(0),
   coldRemainingMs: z.number().min(0).default(0),
+  born: bornSchema.optional(),
+  zone: z.string().optional(),
+  version: z.string().optional(),
 });
+/** What a target may say when it leaves. */
+const leaveSchema = z.looseObject({ born: bornSchema.optional() });
 
 export class RegistrationApi {
   constructor(
     private readonly lease: TargetLease,
     private readonly logger: Logger,
+    /** Whether targets of this service may be used; a report that names another one comes from another writer. */
+    private readonly isKnownService: (service: string) => boolean = () => true,
   ) {}
 
   /** Handles one request of the target. */
@@ -35,7 +44,7 @@
     if (instance === undefined) {
       writeProblem(response, apiProblem('not-found', 'There is nothing at this path.'));
     } else if (message.method === 'PUT') void this.report(message, response, instance);
-    else if (message.method === 'DELETE') this.leave(message, response, instance);
+    else if (message.method === 'DELETE') void this.leave(message, response, instance);
     else writeProblem(response, apiProblem('method-not-allowed', 'Allowed here: PUT, DELETE.'));
   };
 
@@ -54,19 +63,44 @@
       writeProblem(response, apiProblem('invalid', 'The report is not valid.', { faults }));
       return;
     }
-    const { service, address, slots, state, sequence, coldRemainingMs } = reportSchema.parse(
+    const { service, address, slots, state, sequence, coldRemainingMs, born } = reportSchema.parse(
       body.value,
     );
-    const report = { instance, service, address, slots, state, sequence, coldRemainingMs };
+    if (!this.isKnownService(service)) {
+      this.logger.warn('A report names a service that is not declared.', { instance, service });
+      writeProblem(response, apiProblem('invalid', 'No service of this name is declared.'));
+      return;
+    }
+    const report = { instance, born, service, address, slots, state, sequence, coldRemainingMs };
     this.lease.onReport(report);
     if (state === 'leaving') this.logger.info('The target says that it leaves.', { ...report });
     writeJson(response, 200, {});
   }
 
-  private leave(message: IncomingMessage, response: ServerResponse, instance: string): void {
-    message.resume();
-    this.lease.onLeave(instance);
-    this.logger.info('The target says that it is gone.', { instance });
+  private async leave(
+    message: IncomingMessage,
+    response: ServerResponse,
+    instance: string,
+  ): Promise<void> {
+    // Most targets say no more than their id.
+    const said = leaveSchema.safeParse(hasBody(message) ? await this.valueOf(message) : {});
+    if (!said.success) {
+      writeProblem(response, apiProblem('invalid', 'The leave is not valid.'));
+      return;
+    }
+    const leaving = { instance, born: said.data.born };
+    this.lease.onLeave(leaving);
+    this.logger.info('The target says that it is gone.', leaving);
     writeJson(response, 200, {});
   }
+  /** The parsed body; undefined where it can't be read. */
+  private async valueOf(message: IncomingMessage): Promise<unknown> {
+    const body = await readJsonBody(message, MAX_BODY_BYTES);
+    return body.type === 'value' ? body.value : undefined;
+  }
+}
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  const { 'content-length': length = '0', 'transfer-encoding': encoding } = headers;
+  return encoding !== undefined || length !== '0';
 }
--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -3,11 +3,15 @@
  * and out of order, also those of an earlier incarnation. Pure.
  */
 import type { Clock } from '../common/clock.js';
+import {
+  incarnationName,
+  isSameIncarnation,
+  startedLater,
+  type Incarnation,
+} from './incarnation.js';
 
 /** One report of a target about itself. */
-export interface TargetReport {
-  /** Names one incarnation of the target. */
-  readonly instance: string;
+export interface TargetReport extends Incarnation {
   readonly service: string;
   /** `ADDRESS:PORT` that it serves. */
   readonly address: string;
@@ -28,7 +32,8 @@
 
 /** A report of another incarnation that has not taken over yet. */
 interface Candidate {
-  readonly instance: string;
+  /** Name of the incarnation. */
+  readonly name: string;
   readonly sequence: number;
   readonly heardAt: number;
 }
@@ -42,7 +47,7 @@
 export class TargetLease {
   private held: HeldLease | undefined;
   private candidate: Candidate | undefined;
-  /** Have said that they are gone, or were not found at their address. */
+  /** Names of incarnations that have said that they are gone, or were not found at their address. */
   private readonly ended = new Set<string>();
   /** Fell silent while another one reported. Reports of theirs may be late, or they may be back. */
   private readonly replaced = new Set<string>();
@@ -66,6 +71,11 @@
     return held.report;
   }
 
+  /** Name of the incarnation that is held; undefined when there is none. */
+  private get heldName(): string | undefined {
+    return this.held && incarnationName(this.held.report);
+  }
+
   /** Whether the target takes new work. */
   get isReady(): boolean {
     return this.current?.state === 'ready';
@@ -79,18 +89,19 @@
 
   /** Takes a report. */
   onReport(report: TargetReport): void {
-    if (this.ended.has(report.instance)) return;
-    if (report.sequence <= (this.down.get(report.instance) ?? -1)) return;
+    const name = incarnationName(report);
+    if (this.ended.has(name)) return;
+    if (report.sequence <= (this.down.get(name) ?? -1)) return;
     const { held } = this;
-    if (held === undefined || held.report.instance === report.instance) this.renew(report);
-    else if (this.replaced.has(report.instance) && this.current !== undefined) return;
+    if (held === undefined || isSameIncarnation(held.report, report)) this.renew(report);
+    else if (this.replaced.has(name) && this.current !== undefined) return;
     else if (this.mayTakeOver(held, report)) this.takeOver(held, report);
   }
 
-  /** Another incarnation answered where `instance` was expected: by now a newer one may be in use. */
-  onMisdirected(instance: string): void {
-    this.end(instance);
-    if (this.held?.report.instance !== instance) return;
+  /** Another incarnation answered where the one with this name was expected: by now a newer one may be in use. */
+  onMisdirected(name: string): void {
+    this.end(name);
+    if (this.heldName !== name) return;
     this.held = undefined;
     this.onChange();
   }
@@ -99,10 +110,10 @@
    * The incarnation refuses connections: it is not used until it, or another one, reports. Waiting for its lease to run out
    * cost 3 s in which calls were sent to it.
    */
-  onDown(instance: string): void {
+  onDown(name: string): void {
     const { held } = this;
-    if (held?.report.instance !== instance) return;
-    this.down.set(instance, held.report.sequence);
+    if (held === undefined || this.heldName !== name) return;
+    this.down.set(name, held.report.sequence);
     const [oldest] = this.down.keys();
     if (this.down.size > MAX_REMEMBERED && oldest !== undefined) this.down.delete(oldest);
     this.held = undefined;
@@ -110,11 +121,13 @@
     this.onChange();
   }
 
-  /** The incarnation has said that it is gone. */
-  onLeave(instance: string): void {
-    this.end(instance);
+  /** A target has said that it is gone: the one in use, where it does not say which start of it. */
+  onLeave(leaving: Incarnation): void {
     const { held } = this;
-    if (held?.report.instance !== instance) return;
+    const isHeld = leaving.born === undefined && leaving.instance === held?.report.instance;
+    const name = incarnationName(isHeld ? held.report : leaving);
+    this.end(name);
+    if (held === undefined || this.heldName !== name) return;
     this.held = { ...held, report: { ...held.report, state: 'leaving' } };
     this.onChange();
   }
@@ -124,21 +137,24 @@
     if (before !== undefined && report.sequence < before.sequence) return;
     // A target that leaves does not come back as the same incarnation.
     const state = before?.state === 'leaving' ? 'leaving' : report.state;
-    this.held = { report: { ...report, state }, heardAt: this.clock.now() };
+    const born = report.born ?? before?.born;
+    this.held = { report: { ...report, state, born }, heardAt: this.clock.now() };
     this.candidate = undefined;
     this.onChange();
   }
 
   /**
-   * Another incarnation takes over from one that has ended or fallen silent, or once it has reported
-   * twice in order, some time apart, since the present one was last heard: other reports may be late ones.
+   * Another incarnation takes over from one that has ended or fallen silent, if it says that it started later, or once it
+   * has reported twice in order, some time apart, since the present one was last heard: other reports may be late ones.
    */
   private mayTakeOver(held: HeldLease, report: TargetReport): boolean {
     if (held.report.state === 'leaving' || this.current === undefined) return true;
+    if (startedLater(report, held.report)) return true;
     const { candidate } = this;
     const heardAt = this.clock.now();
-    if (candidate?.instance !== report.instance) {
-      this.candidate = { instance: report.instance, sequence: report.sequence, heardAt };
+    const name = incarnationName(report);
+    if (candidate?.name !== name) {
+      this.candidate = { name, sequence: report.sequence, heardAt };
       return false;
     }
     const isApart = heardAt - candidate.heardAt >= MIN_REPORT_GAP_MS;
@@ -146,21 +162,21 @@
   }
 
   private takeOver(held: HeldLease, report: TargetReport): void {
-    remember(this.replaced, held.report.instance);
-    this.replaced.delete(report.instance);
+    remember(this.replaced, incarnationName(held.report));
+    this.replaced.delete(incarnationName(report));
     this.held = undefined;
     this.renew(report);
   }
 
-  private end(instance: string): void {
-    remember(this.ended, instance);
-    this.replaced.delete(instance);
+  private end(name: string): void {
+    remember(this.ended, name);
+    this.replaced.delete(name);
   }
 }
 
-function remember(instances: Set<string>, instance: string): void {
-  instances.add(instance);
-  if (instances.size <= MAX_REMEMBERED) return;
-  const [oldest] = instances;
-  if (oldest !== undefined) instances.delete(oldest);
+function remember(names: Set<string>, name: string): void {
+  names.add(name);
+  if (names.size <= MAX_REMEMBERED) return;
+  const [oldest] = names;
+  if (oldest !== undefined) names.delete(oldest);
 }
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -18,6 +18,7 @@
 import { LinkPool } from '../link/link-pool.js';
 import { LinkServer } from '../link/link-server.js';
 import { DEFAULT_TARGET_HEADERS, type TargetHeaders } from '../http/target-headers.js';
+import { incarnationName, isSameIncarnation, type Incarnation } from '../membership/incarnation.js';
 import { RegistrationApi } from '../membership/registration-api.js';
 import { refusesConnections } from '../membership/port-probe.js';
 import { TargetLease } from '../membership/target-lease.js';
@@ -92,7 +93,7 @@
   private advertised = '';
   /** Incarnation announced to control: higher for each start and each target after it. */
   private incarnation = this.startedAt;
-  private announcedInstance = '';
+  private announcedTarget: Incarnation | undefined;
   private announcedService = '';
   private hasLookedForTarget = false;
   private readonly stopProgress = new StopProgress(this.clock);
@@ -122,7 +123,7 @@
       clock,
       startedAt: this.startedAt,
       windowMs: settings.quota.windowMs,
-      onShort: () => this.follower.announceChange(),
+      onShort: () => this.follower.askLeader(),
     });
     this.follower = this.createFollower();
   }
@@ -138,7 +139,8 @@
     });
     const registration = await ListeningServer.start(
       settings.registration,
-      new RegistrationApi(this.lease, logger.part('target')).handle,
+      new RegistrationApi(this.lease, logger.part('target'), (service) => this.isKnown(service))
+        .handle,
     );
     this.advertised = settings.advertise ?? inbound.origin;
     const admin = await startAdminServer({
@@ -307,6 +309,12 @@
     void this.lookForTarget();
   }
 
+  /** Before the first configuration no service is known, and targets are believed. */
+  private isKnown(service: string): boolean {
+    const { table } = this.follower.view;
+    return table === undefined || table.serviceNames().includes(service);
+  }
+
   /** Asks the target once for its health, if it has not reported itself yet. */
   private async lookForTarget(): Promise<void> {
     const { target: address, service } = this.settings;
@@ -328,17 +336,16 @@
   private onTargetChanged(): void {
     const { lease, follower, logger } = this;
     const { current } = lease;
-    const instance = current?.instance ?? '';
     this.crashGuard.watch.onTarget(current);
-    const isOther = instance !== this.announcedInstance;
+    const isOther = !isSameTarget(current, this.announcedTarget);
     if (isOther) {
-      const left = this.announcedInstance;
-      this.announcedInstance = instance;
+      const left = this.announcedTarget && incarnationName(this.announcedTarget);
       this.incarnation += 1;
       this.onServiceChanged(current?.service ?? '');
       if (current === undefined) logger.info('There is no target now.', { left });
       else logger.info('The target is another one.', { ...current, left });
     }
+    this.announcedTarget = current;
     this.configureTarget();
     follower.announce(this.isLeaving ? 'leaving' : 'ready', isOther);
     if (lease.isReady) this.admission.dispatch();
@@ -359,3 +366,8 @@
     this.instancePool.configure(this.table.serviceSpec(current.service).connections);
   }
 }
+
+function isSameTarget(first: Incarnation | undefined, second: Incarnation | undefined): boolean {
+  if (first === undefined || second === undefined) return first === second;
+  return isSameIncarnation(first, second);
+}
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -20,7 +20,7 @@
   /** The table in force. */
   readonly table: () => PolicyTable;
   /** The incarnation has crashed. */
-  readonly onDown: (instance: string) => void;
+  readonly onDown: (incarnation: string) => void;
   /** There is something to tell control at once. */
   readonly onNews: () => void;
 }
--- a/src/quarantine/crash-report.ts
+++ b/src/quarantine/crash-report.ts
@@ -2,7 +2,7 @@
 
 /** One crash of a target, as the sidecar beside it saw it. */
 export interface CrashReport {
-  /** The incarnation of the target that ended: names the crash. */
+  /** Name of the incarnation of the target that ended: names the crash. */
   readonly instance: string;
   /** Requests that the target was at work on: any of them may be the cause. */
   readonly fingerprints: readonly string[];
--- a/src/quarantine/crash-watch.ts
+++ b/src/quarantine/crash-watch.ts
@@ -4,6 +4,7 @@
  * it leaves. Pure: the probe of the target's port is injected.
  */
 import type { Clock } from '../common/clock.js';
+import { incarnationName, isSameIncarnation } from '../membership/incarnation.js';
 import type { TargetReport } from '../membership/target-lease.js';
 import type { CrashReport } from './crash-report.js';
 
@@ -52,7 +53,8 @@
 export class WatchedRun {
   constructor(
     private readonly watch: CrashWatch,
-    readonly instance: string,
+    /** Name of the target's incarnation. */
+    readonly incarnation: string,
     readonly fingerprint: string,
   ) {}
 
@@ -63,7 +65,7 @@
 
   /** After a broken connection: what became of the target that worked on the request. */
   targetState(): Promise<TargetState> {
-    return this.watch.stateOf(this.instance);
+    return this.watch.stateOf(this.incarnation);
   }
 }
 
@@ -85,7 +87,9 @@
 
   /** A request is about to be sent to the target. */
   begin(fingerprint: string): WatchedRun {
-    const run = new WatchedRun(this, this.options.target()?.instance ?? '', fingerprint);
+    const target = this.options.target();
+    const incarnation = target === undefined ? '' : incarnationName(target);
+    const run = new WatchedRun(this, incarnation, fingerprint);
     this.underWay.add(run);
     return run;
   }
@@ -104,42 +108,45 @@
     if (report === undefined) return;
     const { last } = this;
     this.last = report;
-    if (last === undefined || last.instance === report.instance) return;
-    if (last.state !== 'leaving') this.onCrash(last.instance);
+    if (last === undefined || isSameIncarnation(last, report)) return;
+    if (last.state !== 'leaving') this.onCrash(incarnationName(last));
   }
 
-  /** What became of `instance`, as far as its port says. */
-  async stateOf(instance: string): Promise<TargetState> {
+  /** What became of an incarnation, as far as its port says. */
+  async stateOf(incarnation: string): Promise<TargetState> {
     const target = this.options.target();
-    if (target?.instance === instance) {
+    if (target !== undefined && incarnationName(target) === incarnation) {
       this.probe ??= this.probeTarget(target);
       await this.probe;
     }
-    return this.crashed.get(instance) ?? UP;
+    return this.crashed.get(incarnation) ?? UP;
   }
 
-  private async probeTarget({ instance, address }: TargetReport): Promise<void> {
-    const refuses = await this.options.refusesConnections(address);
+  private async probeTarget(target: TargetReport): Promise<void> {
+    const refuses = await this.options.refusesConnections(target.address);
+    const incarnation = incarnationName(target);
     this.probe = undefined;
-    if (refuses) this.onCrash(instance);
-    else this.crashed.delete(instance);
+    if (refuses) this.onCrash(incarnation);
+    else this.crashed.delete(incarnation);
   }
 
-  private onCrash(instance: string): void {
-    if (this.crashed.has(instance)) return;
-    const fingerprints = this.suspectsOf(instance);
-    this.crashed.set(instance, { isDown: true, underWay: fingerprints.length });
+  private onCrash(incarnation: string): void {
+    if (this.crashed.has(incarnation)) return;
+    const fingerprints = this.suspectsOf(incarnation);
+    this.crashed.set(incarnation, { isDown: true, underWay: fingerprints.length });
     const [oldest] = this.crashed.keys();
     if (this.crashed.size > MAX_CRASHED && oldest !== undefined) this.crashed.delete(oldest);
-    this.options.onCrash({ instance, fingerprints });
+    this.options.onCrash({ instance: incarnation, fingerprints });
   }
 
   /** Requests that were in the target when it ended, each once, the newest first. */
-  private suspectsOf(instance: string): string[] {
+  private suspectsOf(incarnation: string): string[] {
     const since = this.options.clock.now() - LOST_MEMORY_MS;
     const lost = this.lost.filter(({ lostAt }) => lostAt >= since).map(({ run }) => run);
     this.lost = [];
-    const runs = [...lost, ...this.underWay].filter((run) => run.instance === instance).reverse();
+    const runs = [...lost, ...this.underWay]
+      .filter((run) => run.incarnation === incarnation)
+      .reverse();
     const fingerprints = new Set(runs.map(({ fingerprint }) => fingerprint));
     fingerprints.delete('');
     return [...fingerprints].slice(0, MAX_SUSPECTS);
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -66,7 +66,7 @@
   it('is kept by an incarnation that has taken over while a call to the one before was turned away', () => {
     const { held } = lease();
     held.onReport(report('i-1', 5));
-    held.onLeave('i-1');
+    held.onLeave({ instance: 'i-1' });
     held.onReport(report('i-2', 1));
     held.onMisdirected('i-1');
     expect(held.current?.instance).to.equal('i-2');
@@ -125,7 +125,7 @@
 
   it('is taken over at once after a leave, a silence, or an answer by another instance', () => {
     const ends: ((held: TargetLease, clock: VirtualClock) => void)[] = [
-      (held) => held.onLeave('i-1'),
+      (held) => held.onLeave({ instance: 'i-1' }),
       (_held, clock) => clock.advance(SILENT_MS),
       (held) => held.onMisdirected('i-1'),
     ];
@@ -138,4 +138,41 @@
       expect(held.current?.instance).to.equal('i-2');
     }
   });
+
+  it('tells the starts of a target apart that has the same id again', () => {
+    const { held } = lease();
+    held.onReport(report('i-1', 90, { born: 1_000 }));
+    held.onReport(report('i-1', 1, { born: 2_000 }));
+    expect(held.current).to.include({ born: 2_000, sequence: 1 });
+    held.onReport(report('i-1', 91, { born: 1_000 }));
+    expect(held.current).to.include({ born: 2_000, sequence: 1 });
+  });
+
+  it('comes back at once under the same id after it was found down, and not by a late report', () => {
+    const { held } = lease();
+    held.onReport(report('i-1', 4, { born: 1_000 }));
+    held.onDown('i-1@1000');
+    held.onReport(report('i-1', 4, { born: 1_000 }));
+    expect(held.current).to.equal(undefined);
+    held.onReport(report('i-1', 1, { born: 2_000 }));
+    expect(held.isReady).to.equal(true);
+  });
+
+  it('is not ended by the leave of an earlier start under the same id', () => {
+    const { held } = lease();
+    held.onReport(report('i-1', 1, { born: 2_000 }));
+    held.onLeave({ instance: 'i-1', born: 1_000 });
+    expect(held.isReady).to.equal(true);
+    held.onLeave({ instance: 'i-1' });
+    expect(held.isReady).to.equal(false);
+  });
+
+  it('learns the start of a target that a health check found', () => {
+    const { held } = lease();
+    held.onReport(report('i-1', 0));
+    held.onReport(report('i-1', 7, { born: 1_000 }));
+    expect(held.current).to.include({ born: 1_000, sequence: 7 });
+    held.onReport(report('i-1', 1, { born: 2_000 }));
+    expect(held.current).to.include({ born: 2_000 });
+  });
 });
