--- a/lab/simulator/quota/quota-world.ts
+++ b/lab/simulator/quota/quota-world.ts
@@ -156,7 +156,7 @@
       windowMs: this.run.rule.windowMs,
       ingresses: this.run.ingresses,
       limitOf: (group) => this.limitOf(group),
-      onShort: () => this.sendHeartbeat(ingress),
+      onShort: () => this.sendHeartbeat(ingress, this.leader),
     });
   }
 
@@ -172,7 +172,8 @@
     this.clock.schedule(delayMs, () => this.beat(ingress, incarnation));
   }
 
-  private sendHeartbeat(ingress: SimIngress): void {
+  /** @param only the one replica that gets it; all where absent */
+  private sendHeartbeat(ingress: SimIngress, only?: number): void {
     if (ingress.isCut) return;
     const { incarnation } = ingress;
     const sentAt = this.clock.now();
@@ -180,6 +181,7 @@
     this.reports += 1;
     this.uses += report.uses.length;
     this.replicas.forEach((replica, index) => {
+      if (only !== undefined && index !== only) return;
       this.later(() => {
         const grants = replica.side.onReport(ingress.id, report, this.clock.now());
         const mayGrant = index === this.leader || index === this.deposed;
--- a/src/follower/follower.ts
+++ b/src/follower/follower.ts
@@ -62,6 +62,8 @@
   private origin: string;
   private heartbeatTimer: { cancel(): void } | undefined;
   private currentAt: number;
+  /** The replica that last answered as a leader. */
+  private leaderOrigin: string | undefined;
   /** Newest revision that any replica gave out at the heartbeat before. */
   private newestRevision = 0;
   private readonly journal: SyncJournal;
@@ -125,6 +127,13 @@
     if (!this.stopped) void this.sendHeartbeats();
   }
 
+  /** Sends a heartbeat to the leader alone, if one is known: it answers with what only a leader grants. */
+  askLeader(): void {
+    if (!this.stopped && this.leaderOrigin !== undefined) {
+      void this.sendTo([this.leaderOrigin]);
+    }
+  }
+
   /** Adopts other replicas to begin with. */
   setSeeds(seeds: readonly string[]): void {
     this.seeds = seeds;
@@ -147,8 +156,7 @@
     this.heartbeatTimer = this.options.clock.schedule(this.heartbeatIntervalMs, () => this.beat());
   }
 
-  /** @param isRepeat whether it follows at once on one that no replica answered */
-  private async sendHeartbeats(isRepeat = false): Promise<void> {
+  private sendTo(origins: readonly string[]): Promise<ReplicaReply[]> {
     const heartbeat: Heartbeat = {
       ...this.options.identity(),
       state: this.state,
@@ -157,7 +165,12 @@
     const timeoutMs = this.heartbeatIntervalMs * HEARTBEAT_TIMEOUT_FRACTION;
     const { client, clock } = this.options;
     const onReply = (reply: ReplicaReply): void => this.onReply(reply);
-    const replies = await sendHeartbeat(client, clock, this.origins, heartbeat, timeoutMs, onReply);
+    return sendHeartbeat(client, clock, origins, heartbeat, timeoutMs, onReply);
+  }
+
+  /** @param isRepeat whether it follows at once on one that no replica answered */
+  private async sendHeartbeats(isRepeat = false): Promise<void> {
+    const replies = await this.sendTo(this.origins);
     this.judgeReplicas(replies);
     // All kept connections may be dead; the next attempt makes new ones.
     const isSilence = replies.every(({ reply }) => reply === undefined);
@@ -166,10 +179,11 @@
     if (replies.some(({ reply }) => reply?.type === 'superseded')) this.options.onSuperseded();
   }
 
-  private onReply({ reply, sentAt }: ReplicaReply): void {
+  private onReply({ origin, reply, sentAt }: ReplicaReply): void {
     if (reply?.type !== 'ok') return;
     this.options.onReply?.(reply, sentAt);
     if (reply.confirmedAgeMs === undefined) return;
+    this.leaderOrigin = origin;
     const { revision, confirmedAgeMs } = reply;
     const provenAt = sentAt - confirmedAgeMs;
     this.proof.onConfirmed({ revision, provenAt }, this.view.appliedRevision);
--- a/src/quota/ingress-quota.ts
+++ b/src/quota/ingress-quota.ts
@@ -38,6 +38,8 @@
  */
 const MIN_ASK_INTERVAL_MS = 50;
 const MAX_ASK_INTERVAL_MS = 800;
+/** Reports of an ingress that runs short of several groups are this far apart at least, in milliseconds. */
+const MIN_GAP_MS = 20;
 /** Asked less often than this for a group, control is out of places: its requests are refused at once. */
 const EXHAUSTED_INTERVAL_MS = 400;
 /** Groups that are remembered without a request in the last window. */
@@ -73,6 +75,8 @@
   private readonly groups = new Map<string, GroupState>();
   private adopted = 0;
   private sequence = 0;
+  private askedAt = -Infinity;
+  private isAskDue = false;
 
   constructor(private readonly options: IngressQuotaOptions) {}
 
@@ -183,7 +187,24 @@
     if (now - state.askedAt < state.askIntervalMs) return;
     state.askedAt = now;
     state.askIntervalMs = Math.min(MAX_ASK_INTERVAL_MS, 2 * state.askIntervalMs);
-    this.options.onShort();
+    this.ask(now);
+  }
+
+  /** One report tells of all groups: those that run short within a moment share it. */
+  private ask(now: number): void {
+    if (this.isAskDue) return;
+    const waitMs = this.askedAt + MIN_GAP_MS - now;
+    if (waitMs <= 0) {
+      this.askedAt = now;
+      this.options.onShort();
+      return;
+    }
+    this.isAskDue = true;
+    const { clock } = this.options;
+    clock.schedule(waitMs, () => {
+      this.isAskDue = false;
+      this.ask(clock.now());
+    });
   }
 
   private state(group: string): GroupState {
