Count on probation only crashes since the quarantine ended

Cause: the crashes that led to a quarantine are kept for an hour, to know the request by other callers, and counted on probation too: terms of 10, 40 and 160 minutes followed one another without a crash. Change: the evidence knows since when a request is on probation.

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -54,8 +54,8 @@
     { readonly version: number; readonly all: Map<string, Suspicion> } | undefined;
   /** Requests in quarantine: they are not blamed again. */
   private inForce: ReadonlySet<string> = new Set();
-  /** Requests whose quarantine has ended: the first crash makes them suspect. */
-  private probation: ReadonlySet<string> = new Set();
+  /** Requests whose quarantine has ended, and when that was seen: the first crash after it makes them suspect. */
+  private probation: ReadonlyMap<string, number> = new Map();
 
   constructor(private readonly clock: Clock) {}
 
@@ -78,8 +78,9 @@
     const suspects: CrashSuspect[] = [];
     for (const [fingerprint, { crashes }] of this.suspicions()) {
       const needed = this.probation.has(fingerprint) ? 1 : CRASHES_TO_SUSPECT;
-      if (crashes.length < needed) continue;
-      suspects.push({ fingerprint, firstCrashAgoMs: now - crashes[0]!.at });
+      const counted = this.sinceProbation(fingerprint, crashes);
+      if (counted.length < needed) continue;
+      suspects.push({ fingerprint, firstCrashAgoMs: now - counted[0]!.at });
     }
     return { version: this.version, suspects: suspects.slice(-MAX_SUSPECTS) };
   }
@@ -91,13 +92,16 @@
 
   /** Adopts the quarantines that there are now. What speaks against a request that was taken out of them is forgotten. */
   adopt(quarantines: readonly KnownQuarantine[]): void {
-    const before = [...this.inForce, ...this.probation];
+    const before = [...this.inForce, ...this.probation.keys()];
+    const now = this.clock.now();
     const namesOf = (inForce: boolean): Set<string> =>
       new Set(
         quarantines.filter((each) => each.inForce === inForce).map((each) => each.fingerprint),
       );
     this.inForce = namesOf(true);
-    this.probation = namesOf(false);
+    this.probation = new Map(
+      [...namesOf(false)].map((name) => [name, this.probation.get(name) ?? now]),
+    );
     for (const name of before) {
       if (!this.inForce.has(name) && !this.probation.has(name)) this.acquit(name);
     }
@@ -107,10 +111,20 @@
   /** Whether a request on probation was under way in a crash, and no gate has said that it ended well. */
   blamesOnProbation(fingerprint: string): boolean {
     if (!this.probation.has(fingerprint)) return false;
-    const first = this.suspicions().get(fingerprint)?.crashes[0];
+    const { crashes = [] } = this.suspicions().get(fingerprint) ?? {};
+    const [first] = this.sinceProbation(fingerprint, crashes);
     return first !== undefined && this.clock.now() - first.at >= HEARING_MS;
   }
 
+  /**
+   * The crashes under a request that count: on probation those since its quarantine ended. Those that led to it are kept
+   * longer, and would put it in force again without a crash.
+   */
+  private sinceProbation(fingerprint: string, crashes: readonly Crash[]): readonly Crash[] {
+    const since = this.probation.get(fingerprint);
+    return since === undefined ? crashes : crashes.filter(({ at }) => at >= since);
+  }
+
   /** Requests that are to be blamed now, the most suspect first. */
   blamed(): string[] {
     if (this.crashes.size < CRASHES_TO_BLAME) return [];
