--- /dev/null
+++ b/bench/cold-calls.ts
@@ -0,0 +1,122 @@
+/**
+ * What the first calls of a process cost: processor time a call over the sidecar where a request begins and the one beside
+ * its target, at a steady rate from the start on, beside two bare proxies in the same run. A machine that sees 20 to
+ * 130 calls a second stays in this state for its first half minute. Usage: npm run bench:cold [-- --rounds 3]
+ */
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { cac } from 'cac';
+import { median } from '../lab/experiment/summary.js';
+import { FleetChild } from '../lab/fleet/child-process.js';
+import { LoadSource } from './load.js';
+import { processorMs } from './process-usage.js';
+import { BENCH_HOST, SidecarFleet } from './sidecar-fleet.js';
+
+const SCRIPTS = {
+  target: fileURLToPath(new URL('./bench-target.js', import.meta.url)),
+  proxy: fileURLToPath(new URL('./bare-proxy.js', import.meta.url)),
+};
+const REQUEST_HEADERS = { host: BENCH_HOST, 'x-request-id': 'bench' };
+const CALLS_PER_SECOND = 80;
+/** Ends of the stretches that are told apart, in calls since the start. */
+const STRETCH_ENDS = [100, 400, 1_000, 2_000] as const;
+
+/** Processor milliseconds a call in each stretch. */
+type StretchCosts = readonly number[];
+
+function used(pids: readonly number[]): number {
+  return pids.reduce((sum, pid) => sum + processorMs(pid), 0);
+}
+
+async function measureCalls(origin: string, pids: readonly number[]): Promise<StretchCosts> {
+  const source = new LoadSource(origin, REQUEST_HEADERS);
+  const costs: number[] = [];
+  let done = 0;
+  for (const end of STRETCH_ENDS) {
+    const calls = end - done;
+    const from = used(pids);
+    const { failed } = await source.atRate(CALLS_PER_SECOND, calls);
+    if (failed > calls / 2) throw new Error(`${failed} of ${calls} requests failed`);
+    costs.push((used(pids) - from) / calls);
+    done = end;
+  }
+  await source.close();
+  return costs;
+}
+
+async function measureSidecars(workDir: string, target: string): Promise<StretchCosts> {
+  const fleet = new SidecarFleet(mkdtempSync(join(workDir, 'fleet-')), new URL(target).host);
+  try {
+    await fleet.start(2);
+    const ingress = fleet.sidecars.find(({ service }) => service === 'caller')!.child;
+    const pids = fleet.sidecars.map(({ child }) => child.pid);
+    return await measureCalls(ingress.origin('outbound'), pids);
+  } finally {
+    await fleet.kill();
+  }
+}
+
+async function measureProxies(workDir: string, target: string): Promise<StretchCosts> {
+  const start = (name: string, origin: string): Promise<FleetChild> =>
+    FleetChild.start(name, SCRIPTS.proxy, [origin], join(workDir, `${name}.log`));
+  const inner = await start('bare-inner', target);
+  const outer = await start('bare-outer', inner.origin('listen'));
+  try {
+    return await measureCalls(outer.origin('listen'), [inner.pid, outer.pid]);
+  } finally {
+    await Promise.all([inner.kill(), outer.kill()]);
+  }
+}
+
+function report(name: string, rounds: readonly StretchCosts[]): void {
+  const costs = STRETCH_ENDS.map((end, index) => {
+    const cost = median(rounds.map((round) => round[index]!));
+    return `to ${end}: ${cost.toFixed(2)}`;
+  });
+  const unit = `ms processor a call at ${CALLS_PER_SECOND}/s`;
+  process.stdout.write(`${name}, ${process.version}: ${unit}, ${costs.join(', ')}\n`);
+}
+
+async function run(rounds: number): Promise<void> {
+  const workDir = mkdtempSync(join(tmpdir(), 'shoredoor-bench-'));
+  const target = await FleetChild.start('target', SCRIPTS.target, [], join(workDir, 'target.log'));
+  try {
+    const origin = target.origin('listen');
+    const proxies: StretchCosts[] = [];
+    const sidecars: StretchCosts[] = [];
+    for (let round = 0; round < rounds; round += 1) {
+      proxies.push(await measureProxies(workDir, origin));
+      sidecars.push(await measureSidecars(workDir, origin));
+    }
+    report('two bare proxies', proxies);
+    report('two sidecars', sidecars);
+  } finally {
+    await target.kill();
+  }
+}
+
+/** A number of rounds. Throws where it is none. */
+function parseRounds(value: string | number): number {
+  const rounds = Number(value);
+  if (Number.isInteger(rounds) && rounds > 0) return rounds;
+  throw new Error(`--rounds takes a whole number above 0: ${value}`);
+}
+
+const LAST_STRETCH_END = STRETCH_ENDS.at(-1)!;
+const SECONDS_A_ROUND = (2 * LAST_STRETCH_END) / CALLS_PER_SECOND;
+
+const cli = cac('bench:cold');
+cli
+  .command('', `Measure the first calls of sidecars; a round takes about ${SECONDS_A_ROUND} s`)
+  .option('--rounds <count>', 'Starts to measure; the median is told', { default: 1 })
+  .action((options: { rounds: string | number }) => run(parseRounds(options.rounds)));
+cli.help();
+cli.parse(process.argv, { run: false });
+try {
+  await cli.runMatchedCommand();
+} catch (error) {
+  process.stderr.write(`bench: ${error instanceof Error ? error.message : String(error)}\n`);
+  process.exitCode = 2;
+}
