The rank of a caller's group comes before that of its route where requests wait

Cause: the rank of a group was read and used nowhere: 'comes before that of the route' did not hold. Change: calls that wait at a gate, and the order in which they are refused when too many wait, go by the group's rank, then by the route's. Limits by kind stay blind to it: in an overload of several seconds a strict order there would leave later ranks with nothing, where none may be served less than a quarter as often as all.

--- a/src/admission/admission-controller.ts
+++ b/src/admission/admission-controller.ts
@@ -16,6 +16,8 @@
   readonly group: string;
   readonly kind: string;
   readonly importance: Importance;
+  /** Rank of the caller's group, 0 the most urgent; comes before the importance. Default 0. */
+  readonly groupRank?: number | undefined;
   /** Monotonic milliseconds. */
   readonly deadlineAt: number;
   /** Monotonic milliseconds until which it may wait; as the controller's options say if absent. */
@@ -86,6 +88,7 @@
   timer: Timer | undefined;
   readonly group: string;
   readonly importance: Importance;
+  readonly groupRank: number;
   readonly waitUntil: number | undefined;
 
   constructor(
@@ -95,6 +98,7 @@
   ) {
     this.group = request.group;
     this.importance = request.importance;
+    this.groupRank = request.groupRank ?? 0;
     this.waitUntil = request.waitUntil;
   }
 
--- a/src/admission/sharing-policy.ts
+++ b/src/admission/sharing-policy.ts
@@ -7,6 +7,8 @@
 /** The calls of one group and importance that wait at a node. */
 export interface SharingCandidate {
   readonly importance: Importance;
+  /** Rank of the callers' groups, 0 the most urgent; comes before the importance. */
+  readonly groupRank: number;
   /** The group's use of the target relative to its share; below 1 it is within its share. */
   readonly shareUse: number;
 }
@@ -15,7 +17,7 @@
 export type SharingOrder = (first: SharingCandidate, second: SharingCandidate) => number;
 
 function byImportance(first: SharingCandidate, second: SharingCandidate): number {
-  return second.importance - first.importance;
+  return first.groupRank - second.groupRank || second.importance - first.importance;
 }
 
 function byShareUse(first: SharingCandidate, second: SharingCandidate): number {
--- a/src/admission/waiting-calls.ts
+++ b/src/admission/waiting-calls.ts
@@ -1,5 +1,5 @@
 /**
- * The calls that wait at a node, by group and importance. Within each, the one that must be let in
+ * The calls that wait at a node, by group, rank of the caller and importance. Within each, the one that must be let in
  * first comes first; calls without a bound of their own stay in the order in which they came.
  */
 import { IMPORTANCE_COUNT, type Importance } from '../policy/importance.js';
@@ -10,19 +10,41 @@
 export interface WaitingCall {
   readonly group: string;
   readonly importance: Importance;
+  /** Rank of the caller's group, 0 the most urgent. */
+  readonly groupRank: number;
   /** Monotonic milliseconds until which it waits, where the call brought a bound of its own. */
   readonly waitUntil?: number | undefined;
 }
 
 /** Everything a node keeps about one group. */
 export class GroupState<Call extends WaitingCall> {
-  readonly waiting: Call[][] = Array.from({ length: IMPORTANCE_COUNT }, () => []);
+  /** Calls by the rank of the caller's group, then by importance. */
+  private readonly waiting = new Map<number, Call[][]>();
   waitingCount = 0;
 
   constructor(
     readonly name: string,
     readonly usage: GroupUsage,
   ) {}
+
+  /** The calls that wait with this rank and importance. */
+  calls({ groupRank, importance }: Pick<Call, 'groupRank' | 'importance'>): Call[] {
+    let ofRank = this.waiting.get(groupRank);
+    if (ofRank === undefined) {
+      ofRank = Array.from({ length: IMPORTANCE_COUNT }, () => []);
+      this.waiting.set(groupRank, ofRank);
+    }
+    return ofRank[importance]!;
+  }
+
+  /** Ranks and importances with at least one call that waits. */
+  *lanes(): Iterable<{ groupRank: number; importance: Importance; calls: Call[] }> {
+    for (const [groupRank, ofRank] of this.waiting) {
+      for (const [importance, calls] of ofRank.entries()) {
+        if (calls.length > 0) yield { groupRank, importance: importance as Importance, calls };
+      }
+    }
+  }
 }
 
 /** One group and importance with at least one waiting call. */
@@ -70,7 +92,7 @@
 
   add(call: Call): void {
     const state = this.group(call.group);
-    insertByExpiry(state.waiting[call.importance]!, call);
+    insertByExpiry(state.calls(call), call);
     state.waitingCount += 1;
     this.total += 1;
   }
@@ -78,7 +100,7 @@
   /** Removes a call that waits; false when it does not. */
   remove(call: Call): boolean {
     const state = this.group(call.group);
-    const calls = state.waiting[call.importance]!;
+    const calls = state.calls(call);
     const index = calls.indexOf(call);
     if (index < 0) return false;
     calls.splice(index, 1);
@@ -118,12 +140,7 @@
     for (const state of this.groups.values()) {
       if (state.waitingCount === 0) continue;
       const shareUse = this.shareUseOf(state, countWaiting ? state.waitingCount : 0);
-      for (let importance = 0; importance < IMPORTANCE_COUNT; importance += 1) {
-        const calls = state.waiting[importance]!;
-        if (calls.length > 0) {
-          yield { importance: importance as Importance, shareUse, calls, state };
-        }
-      }
+      for (const lane of state.lanes()) yield { ...lane, shareUse, state };
     }
   }
 }
--- a/src/call/call-context.ts
+++ b/src/call/call-context.ts
@@ -31,6 +31,8 @@
   readonly answerMarginMs?: number | undefined;
   /** Names the request whenever it comes again; empty or absent where it is not known. */
   readonly fingerprint?: string | undefined;
+  /** Rank of the group, 0 the most urgent; comes before the importance of the kind. Default 0. */
+  readonly groupRank?: number | undefined;
 }
 
 /** Request header between shoredoor processes: identity, remaining time and retries. */
--- a/src/call/gate-policy.ts
+++ b/src/call/gate-policy.ts
@@ -44,7 +44,7 @@
 /** The context of a call that came in a frame. @param isNested whether a target made it */
 export function gateContext(frame: CallFrameContext, isNested: boolean, now: number): CallContext {
   const { requestId, kind, service, retries, deadlineMs, waitMs, objectiveMs } = frame;
-  const { isRepeat, inheritedShare, answerMarginMs, fingerprint } = frame;
+  const { isRepeat, inheritedShare, answerMarginMs, fingerprint, groupRank } = frame;
   const patienceMs = isNested ? deadlineMs * NESTED_WAIT_FRACTION : 0;
   return {
     requestId,
@@ -60,6 +60,7 @@
     inheritedShare,
     answerMarginMs,
     fingerprint,
+    groupRank,
   };
 }
 
--- a/src/call/inbound-call.ts
+++ b/src/call/inbound-call.ts
@@ -110,9 +110,9 @@
       this.refuse('retry-budget', 'not-run', 1, 'The service has had all the repeats that it may.');
       return;
     }
-    const { group, kind, importance, deadlineAt, waitUntil } = this.context;
+    const { group, groupRank, kind, importance, deadlineAt, waitUntil } = this.context;
     this.pending = this.services.admission.offer(
-      { group, kind, importance, deadlineAt, waitUntil },
+      { group, groupRank, kind, importance, deadlineAt, waitUntil },
       {
         onAdmitted: (permit) => this.onAdmitted(permit),
         onRefused: (reason, retryAfterSeconds) => this.onNotAdmitted(reason, retryAfterSeconds),
--- a/src/call/ingress-exchange.ts
+++ b/src/call/ingress-exchange.ts
@@ -132,6 +132,7 @@
       service,
       wantedMs: deadlineOf(names, message.headers),
       arrivedAt: startedAt,
+      group: this.request.group,
       inheritedShare: nestedRoutes.has(route.name) ? repeatedRuns.share() : 0,
     });
     return boundedByStop(context, this.options.stop);
--- a/src/call/ingress-policy.ts
+++ b/src/call/ingress-policy.ts
@@ -1,6 +1,7 @@
 /** What an ingress decides about a request once it knows its route. Pure. */
 import type { CallFrameContext } from '../link/link-frames.js';
 import type { AttemptEnvelope } from './transport.js';
+import type { Group } from '../policy/group-table.js';
 import type { Route } from '../policy/route-table.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
 import { contextName, type CallContext } from './call-context.js';
@@ -8,8 +9,8 @@
 import type { OutboundRequest, OutboundResult } from './outbound-request.js';
 import type { Refusal, RefusalReason } from './refusal.js';
 
-/** All requests share one group: routes carry their rank, and clients no key. */
-const GROUP = 'default';
+/** Group of requests without a key. */
+const DEFAULT_GROUP = 'default';
 /** Part of its objective that a request may wait to be let in: refused then, it can be sent again. */
 const WAIT_FRACTION = 0.25;
 /** An answer that takes this multiple of the usual time is taken for lost. */
@@ -41,6 +42,8 @@
   readonly arrivedAt: number;
   /** How likely a repeated run has made the request, 0 to 1; 0 for those of clients. */
   readonly inheritedShare: number;
+  /** The group whose key the client presented; absent where none is needed. */
+  readonly group?: Group | undefined;
 }
 
 /** The context of a request of `route`. */
@@ -49,7 +52,8 @@
   const wantedMs = arrival.wantedMs ?? route.timeoutMs;
   return {
     requestId,
-    group: GROUP,
+    group: arrival.group?.name ?? DEFAULT_GROUP,
+    groupRank: arrival.group?.rank ?? 0,
     kind: contextName(route.name),
     importance: route.importance,
     deadlineAt: arrivedAt + Math.min(wantedMs, route.timeoutMs),
@@ -81,6 +85,7 @@
     inheritedShare: context.inheritedShare ?? 0,
     answerMarginMs: context.answerMarginMs ?? 0,
     fingerprint: context.fingerprint ?? '',
+    groupRank: context.groupRank ?? 0,
   };
 }
 
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -66,10 +66,18 @@
   answerMarginMs?: number,
   /** Absent in frames of processes that do not know it. */
   fingerprint?: string,
+  /** Absent in frames of processes that do not know it. */
+  groupRank?: number,
 ];
 
 /** The last fields of a call. */
-type BodyFields = [form: BodyForm, body: unknown, answerMarginMs?: number, fingerprint?: string];
+type BodyFields = [
+  form: BodyForm,
+  body: unknown,
+  answerMarginMs?: number,
+  fingerprint?: string,
+  groupRank?: number,
+];
 
 /** Place of the form of the body among the numbers of a call. */
 const BODY_FORM_FIELD = 7;
@@ -216,6 +224,7 @@
     body ?? null,
     context.answerMarginMs,
     context.fingerprint,
+    context.groupRank,
   ];
 }
 
@@ -229,7 +238,7 @@
   const numbers = fields.slice(CALL_LINES_FIELD + 1) as CallNumbers;
   const [importance, deadlineMs, waitMs, objectiveMs, retries, isRepeat, inherited] = numbers;
   const rest = numbers.slice(BODY_FORM_FIELD) as BodyFields;
-  const [form, bytes, answerMarginMs = 0, fingerprint = ''] = rest;
+  const [form, bytes, answerMarginMs = 0, fingerprint = '', groupRank = 0] = rest;
   const [requestId, kind, service, method, path] = lines as [
     string,
     string,
@@ -253,6 +262,7 @@
       inheritedShare: inherited / PERCENT,
       answerMarginMs,
       fingerprint,
+      groupRank,
     },
     method,
     path,
--- a/src/link/link-frames.ts
+++ b/src/link/link-frames.ts
@@ -31,6 +31,8 @@
   readonly answerMarginMs: number;
   /** Names the request whenever it comes again; empty from processes that do not tell it. */
   readonly fingerprint: string;
+  /** Rank of the caller's group, 0 the most urgent; 0 from processes that do not tell it. */
+  readonly groupRank: number;
 }
 
 /** Begins a call. */
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -34,6 +34,7 @@
     inheritedShare: 0,
     answerMarginMs: 0,
     fingerprint: '',
+    groupRank: 0,
   },
   method: 'POST',
   path: '/x',
@@ -161,6 +162,7 @@
       inheritedShare: fc.nat(100).map((percent) => percent / 100),
       answerMarginMs: fc.nat(1_000),
       fingerprint: fc.string({ maxLength: 20 }).map((text) => text.replaceAll('\n', '')),
+      groupRank: fc.nat({ max: 20 }),
     });
     const call = { id: fc.nat(), context, method: text, path: text, headers: head.headers };
     const frames = fc.oneof(
--- a/test/link/silent-link.test.ts
+++ b/test/link/silent-link.test.ts
@@ -36,6 +36,7 @@
     inheritedShare: 0,
     answerMarginMs: 0,
     fingerprint: '',
+    groupRank: 0,
   },
   method: 'GET',
   path: '/',
