--- a/src/call/ingress-exchange.ts
+++ b/src/call/ingress-exchange.ts
@@ -176,7 +176,7 @@
         reason: 'rate-limited',
         verdict: 'not-run',
         retryAfterSeconds: this.options.quota.retryAfterSeconds(group.name),
-        detail: 'The group has had the requests that it may make now.',
+        detail: `Group '${group.name}' is at its rate. ${this.options.quota.describe(group.name)}`,
       });
       return;
     }
--- a/src/call/ingress-server.ts
+++ b/src/call/ingress-server.ts
@@ -26,8 +26,10 @@
   readonly maxInFlight: number;
   /** The table in force; undefined until a first revision was received. */
   readonly table: () => PolicyTable | undefined;
-  /** Whether control has confirmed lately enough that no key of the table has been taken away. */
-  readonly isConfigurationProven: () => boolean;
+  /** Milliseconds since control confirmed that no key of the table has been taken away. */
+  readonly proofAgeMs: () => number;
+  /** Longest such time with which requests with keys run; Infinity where there is no bound. */
+  readonly maxProofAgeMs: number;
 }
 
 const STATUS_HEADERS_TOO_LARGE = 431;
@@ -95,9 +97,12 @@
     table: PolicyTable,
   ): void {
     const key = headerValue(message.headers, this.options.transport.names.apiKey);
-    const access = accessOf(table, route, key, this.options.isConfigurationProven());
-    if (access.type === 'refused') this.refuse(message, response, access.reason, access.detail);
-    else {
+    const proofAgeMs = this.options.proofAgeMs();
+    const access = accessOf(table, route, key, proofAgeMs <= this.options.maxProofAgeMs);
+    if (access.type === 'refused') {
+      const detail = `${access.detail} Confirmed ${Math.round(proofAgeMs)} ms ago.`;
+      this.refuse(message, response, access.reason, detail);
+    } else {
       const { group } = access;
       this.begin({ message, response, route, group, revision: table.revision });
     }
@@ -131,6 +136,7 @@
       : retryAfterOf(this.waitSeconds(reason), fractionalRetryAfter);
     const requestId = headerValue(message.headers, this.options.transport.names.requestId) ?? '';
     this.options.stats.kind('unmatched').onRefused(reason);
+    this.options.journal.onRefusedEarly(requestId, { reason, detail });
     writeRefusal(response, { reason, verdict: 'not-run', retryAfterSeconds, detail }, requestId);
   }
 }
--- a/src/call/request-journal.ts
+++ b/src/call/request-journal.ts
@@ -46,6 +46,12 @@
     this.logger.info('A request failed.', { ...record, ...ended });
   }
 
+  /** A request was refused before it belonged to a route and a group. */
+  onRefusedEarly(requestId: string, { reason, detail }: Pick<Refusal, 'reason' | 'detail'>): void {
+    if (!this.hasRoom()) return;
+    this.logger.info('A request was refused.', { requestId, outcome: reason, cause: detail });
+  }
+
   /**
    * The process ends, and these requests that began here with it. Says how old each is, and where it was sent: without a
    * line a request that is cut by a stop looks like one whose client has left.
--- a/src/observe/follower-metrics.ts
+++ b/src/observe/follower-metrics.ts
@@ -20,6 +20,14 @@
       this.set(follower.toldRevision);
     },
   });
+  new Gauge({
+    name: 'shoredoor_configuration_proof_age_milliseconds',
+    help: 'Time since control confirmed that the configuration here is the newest; +Inf before the first time.',
+    registers: [registry],
+    collect() {
+      this.set(follower.proofAgeMs());
+    },
+  });
   new Gauge({
     name: 'shoredoor_sync_held_milliseconds',
     help: 'Time since the sync under way was sent.',
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -53,11 +53,6 @@
 
 /** The ingress takes larger headers than routes may allow, so that it can say what the limit is. */
 const MAX_HEADER_BYTES = 256 * 1024;
-/**
- * Part of the time within which a revocation takes effect that the proof of a configuration may be old; the rest is for
- * clocks that differ and for the way of a request through this process.
- */
-const PROOF_PART = 0.9;
 
 /** Starts a sidecar. */
 export async function startSidecar(
@@ -285,17 +280,10 @@
       stopProgress,
       quota,
       table: () => this.follower.view.table,
-      isConfigurationProven: () => this.isConfigurationProven(),
+      proofAgeMs: () => this.follower.proofAgeMs(),
     };
   }
 
-  /** Without a bound on how long a key that was taken away may run, any configuration will do. */
-  private isConfigurationProven(): boolean {
-    const { revocation } = this.settings;
-    if (revocation === undefined) return true;
-    return this.follower.proofAgeMs() <= revocation.withinMs * PROOF_PART;
-  }
-
   private readiness(): { ready: boolean; detail: string } {
     if (this.stopProgress.phase !== StopPhase.Running) return { ready: false, detail: 'leaving' };
     const isReady = this.follower.view.table !== undefined;
--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -31,6 +31,12 @@
 import type { WeightedSplit } from '../routing/weighted-split.js';
 import type { SidecarSettings } from '../settings/schemas.js';
 
+/**
+ * Part of the time within which a revocation takes effect that the proof of a configuration may be old; the rest is for
+ * clocks that differ and for the way of a request through this process.
+ */
+const PROOF_PART = 0.9;
+
 /** What both sides are built from. */
 export interface SidecarServerParts {
   readonly clock: Clock;
@@ -56,7 +62,8 @@
   readonly quota: IngressQuota;
   /** Undefined before the first configuration. */
   readonly table: () => PolicyTable | undefined;
-  readonly isConfigurationProven: () => boolean;
+  /** Milliseconds since control confirmed that the configuration here is the newest. */
+  readonly proofAgeMs: () => number;
 }
 
 /** Takes calls of other machines for the target. */
@@ -117,7 +124,8 @@
     maxInFlight: settings.limits.maxInFlight,
     fractionalRetryAfter: settings.fractionalRetryAfter,
     table,
-    isConfigurationProven: parts.isConfigurationProven,
+    proofAgeMs: parts.proofAgeMs,
+    maxProofAgeMs: maxProofAgeMs(settings),
     quota,
     stop: parts.stopProgress,
     journal,
@@ -128,3 +136,8 @@
     isQuarantined: (fingerprint) => crashGuard.isQuarantined(fingerprint),
   });
 }
+
+/** Without a bound on how long a key that was taken away may run, any configuration will do. */
+function maxProofAgeMs({ revocation }: SidecarSettings): number {
+  return revocation === undefined ? Infinity : revocation.withinMs * PROOF_PART;
+}
--- a/src/quota/ingress-quota.ts
+++ b/src/quota/ingress-quota.ts
@@ -144,6 +144,16 @@
     }
   }
 
+  /** One sentence on where the group stands here, for people. */
+  describe(group: string): string {
+    const state = this.groups.get(group);
+    const now = this.options.clock.now();
+    if (state === undefined || state.validUntil <= now)
+      return 'Control has granted it nothing here.';
+    const { used, offered, allowance } = state;
+    return `It has used ${used.total(now)} of ${allowance} here, of ${offered.total(now)} asked for.`;
+  }
+
   /** Seconds after which a refused request of the group may find a place. */
   retryAfterSeconds(group: string): number {
     const state = this.groups.get(group);
