--- /dev/null
+++ b/src/control/leadership-log.ts
@@ -0,0 +1,17 @@
+/** What a replica logs of its role and its leader: one line for each change. */
+import type { Logger } from '../observe/logger.js';
+import type { LogStatus } from './command-log.js';
+
+export class LeadershipLog {
+  private told = '';
+
+  constructor(private readonly logger: Logger) {}
+
+  /** Looks at the state once. */
+  check({ role, term, leaderId }: Pick<LogStatus, 'role' | 'term' | 'leaderId'>): void {
+    const text = `${role} ${leaderId ?? ''}`;
+    if (text === this.told) return;
+    this.told = text;
+    this.logger.info('The role or the leader is another one.', { role, term, leader: leaderId });
+  }
+}
--- a/src/programs/control-program.ts
+++ b/src/programs/control-program.ts
@@ -2,6 +2,7 @@
 import { AccessTokens } from '../control/access-tokens.js';
 import { ChangeNotifier } from '../control/change-notifier.js';
 import { ClaimViewKeeper } from '../control/claim-view-keeper.js';
+import { LeadershipLog } from '../control/leadership-log.js';
 import { QuotaKeeper } from '../control/quota-keeper.js';
 import { QuarantineKeeper } from '../control/quarantine-keeper.js';
 import { CrashEvidence } from '../quarantine/crash-evidence.js';
@@ -40,6 +41,8 @@
 const EXPIRE_INTERVAL_MS = 500;
 /** Part of the 3 s from the third crash under a request until all processes keep it from targets. */
 const QUARANTINE_CHECK_INTERVAL_MS = 100;
+/** Shorter than an election, so that each leader has its line. */
+const LEADERSHIP_CHECK_INTERVAL_MS = 100;
 /** A replica that stops answers this long, so that clients are told to ask another. */
 const STOP_LINGER_MS = 200;
 const STOP_TIMEOUT_MS = 1_000;
@@ -130,6 +133,11 @@
     if (members.endpointVersion !== versionBefore) notifier.notify();
     if (settings.claims) claimViews.check();
   }, EXPIRE_INTERVAL_MS);
+  const leadership = new LeadershipLog(logger.part('replication'));
+  const leadershipCheck = setInterval(
+    () => leadership.check(log.status()),
+    LEADERSHIP_CHECK_INTERVAL_MS,
+  );
   const quarantineCheck = setInterval(() => quarantines.check(), QUARANTINE_CHECK_INTERVAL_MS);
   host.start();
   platformList?.start();
@@ -140,6 +148,7 @@
     stop: async () => {
       clearInterval(expiry);
       clearInterval(quarantineCheck);
+      clearInterval(leadershipCheck);
       platformList?.stop();
       watches.close();
       await log.close();
