--- a/src/quota/ingress-quota.ts
+++ b/src/quota/ingress-quota.ts
@@ -4,8 +4,12 @@
  */
 import type { Clock, Timer } from '../common/clock.js';
 import type { Group } from '../policy/group-table.js';
-import type { GroupUse, QuotaGrants, QuotaReport } from './quota-messages.js';
-import { QUOTA_LEASE_MS } from './quota-messages.js';
+import {
+  QUOTA_LEASE_MS,
+  type GroupUse,
+  type QuotaGrants,
+  type QuotaReport,
+} from './quota-messages.js';
 import { SlidingCount } from './sliding-count.js';
 
 /** What the quota of an ingress is made of. */
@@ -50,19 +54,23 @@
 /** The same without a grant, in seconds: a leader is found within 1 to 3 s. */
 const NO_GRANT_RETRY_AFTER_SECONDS = 2;
 
-/** A request that waits for a grant. */
+/** A request that waits for a place. */
 interface Waiter {
   readonly timer: Timer;
   readonly listener: PlaceListener;
 }
 
+/** One group at this ingress. */
 interface GroupState {
+  /** Requests in a window that may run, until {@link validUntil}. */
   allowance: number;
   /** Monotonic milliseconds. */
   validUntil: number;
   readonly used: SlidingCount;
+  /** Refused requests included. */
   readonly offered: SlidingCount;
   waiters: Waiter[];
+  /** When control was last asked for more, and how long it is not asked again, in milliseconds. */
   askedAt: number;
   askIntervalMs: number;
 }
@@ -148,8 +156,9 @@
   describe(group: string): string {
     const state = this.groups.get(group);
     const now = this.options.clock.now();
-    if (state === undefined || state.validUntil <= now)
+    if (state === undefined || state.validUntil <= now) {
       return 'Control has granted it nothing here.';
+    }
     const { used, offered, allowance } = state;
     return `It has used ${used.total(now)} of ${allowance} here, of ${offered.total(now)} asked for.`;
   }
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -4,8 +4,13 @@
  * all ingresses together stay within what its quota gives in a window: an ingress is committed for what it may let run,
  * for what it has run, and for grants that it has not confirmed. Pure.
  */
-import type { GroupGrant, GroupUse, QuotaGrants, QuotaReport } from './quota-messages.js';
-import { QUOTA_LEASE_MS } from './quota-messages.js';
+import {
+  QUOTA_LEASE_MS,
+  type GroupGrant,
+  type GroupUse,
+  type QuotaGrants,
+  type QuotaReport,
+} from './quota-messages.js';
 
 /** What the ledger is made of. */
 export interface QuotaLedgerOptions {
@@ -66,6 +71,7 @@
   private readonly ingresses = new Map<string, IngressEntry>();
   private readonly totals = new Map<string, GroupTotals>();
   private pastUses: PastUse[] = [];
+
   /** @param startedAt monotonic milliseconds since which every grant is known here */
   constructor(
     private readonly options: QuotaLedgerOptions,
