--- a/src/call/ingress-exchange.ts
+++ b/src/call/ingress-exchange.ts
@@ -81,6 +81,7 @@
   readonly revision: number;
 }
 
+/** See the module comment. */
 export class IngressExchange {
   private readonly startedAt: number;
   private readonly service: string;
