--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -297,10 +297,10 @@
     void this.lookForTarget();
   }
 
-  /** Before the first configuration no service is known, and targets are believed. */
+  /** Before the first set no service is declared, and targets are believed: they report themselves some seconds earlier. */
   private isKnown(service: string): boolean {
-    const { table } = this.follower.view;
-    return table === undefined || table.serviceNames().includes(service);
+    const declared = this.table.serviceNames();
+    return declared.length === 0 || declared.includes(service);
   }
 
   /** Asks the target once for its health, if it has not reported itself yet. */
