Confirm a leader by the list that confirms reads; one look at the log's state; what nobody called goes

Found by reading the change once more: a module counted rounds of heartbeats beside PendingReads, which does; two timers of 100 ms looked at the state of the log; the outcome of a call that was not begun stood twice; the sum of a group's commitments was told by two methods that nobody called. Behaviour stays as it is.

--- a/lab/simulator/quota/quota-world.ts
+++ b/lab/simulator/quota/quota-world.ts
@@ -35,7 +35,7 @@
 /** What a run gave. */
 export interface QuotaResult {
   readonly groups: readonly QuotaFindings[];
-  /** Bytes of reports that an ingress sends to one replica a second, about. */
+  /** Groups that a report names, in the mean. */
   readonly usesPerReport: number;
 }
 
--- a/src/call/gate-server.ts
+++ b/src/call/gate-server.ts
@@ -12,7 +12,7 @@
 import { gateContext, gateOptions } from './gate-policy.js';
 import { InboundCall } from './inbound-call.js';
 import type { InboundResult, InboundServices } from './inbound-services.js';
-import { CrashNote, type Outcome } from './outcome.js';
+import { CrashNote, unbegunOutcome, type Outcome } from './outcome.js';
 import type { RefusalReason } from './refusal.js';
 import type { RequestJournal } from './request-journal.js';
 
@@ -134,15 +134,9 @@
   }
 
   private refuseUnbegun(reason: RefusalReason, cause: string, crashNote?: CrashNote): void {
-    const outcome: Outcome = {
-      verdict: 'not-run',
-      refusal: reason,
-      overloaded: false,
-      unspentRetries: this.context.retries,
-      load: undefined,
-      ...(crashNote !== undefined && { crashNote }),
-    };
-    this.refuse(reason, outcome, cause);
+    const outcome = unbegunOutcome(reason, this.context.retries);
+    const noted = crashNote === undefined ? outcome : { ...outcome, crashNote };
+    this.refuse(reason, noted, cause);
   }
 
   private refuse(reason: RefusalReason, outcome: Outcome, cause: string): void {
--- a/src/call/node-inbound-server.ts
+++ b/src/call/node-inbound-server.ts
@@ -15,7 +15,7 @@
 import { InboundCall } from './inbound-call.js';
 import type { InboundResult, InboundServices } from './inbound-services.js';
 import type { InboundRegistry } from './inbound-registry.js';
-import { formatOutcome, type Outcome } from './outcome.js';
+import { formatOutcome, unbegunOutcome, type Outcome } from './outcome.js';
 import type { Refusal } from './refusal.js';
 import { requestPath } from './request-target.js';
 import { newSpanId, newTraceId, parseTraceParent } from './trace-parent.js';
@@ -184,13 +184,7 @@
 
   private refuseBody(reason: 'too-large' | 'request-timeout'): void {
     const detail = 'The request body was not taken.';
-    const outcome: Outcome = {
-      verdict: 'not-run',
-      refusal: reason,
-      overloaded: false,
-      unspentRetries: this.context.retries,
-      load: undefined,
-    };
+    const outcome = unbegunOutcome(reason, this.context.retries);
     this.refuse({ reason, verdict: 'not-run', retryAfterSeconds: 0, detail }, outcome);
   }
 
--- a/src/call/outcome.ts
+++ b/src/call/outcome.ts
@@ -50,6 +50,11 @@
   readonly load: LoadReport | undefined;
 }
 
+/** The outcome of a call that the node refused before it began. */
+export function unbegunOutcome(refusal: RefusalReason, unspentRetries: number): Outcome {
+  return { verdict: 'not-run', refusal, overloaded: false, unspentRetries, load: undefined };
+}
+
 /** The value of the `shoredoor-outcome` header. */
 export function formatOutcome(outcome: Outcome): string {
   let text = `verdict=${outcome.verdict}, unspent=${outcome.unspentRetries}`;
--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -2,7 +2,6 @@
 import type { Timer } from '../common/clock.js';
 import type { AppliedLog } from './applied-log.js';
 import { isMajority, majorityValue, type PeerProgress } from './peer-progress.js';
-import { LeaderConfirmations } from './leader-confirmations.js';
 import { PendingReads } from './pending-reads.js';
 import type { ProposalCallback } from './raft-options.js';
 import type { RaftState } from './raft-state.js';
@@ -25,7 +24,8 @@
   private readonly progress = new Map<string, PeerProgress>();
   private round = 0;
   private timer: Timer | undefined;
-  private readonly confirmations = new LeaderConfirmations();
+  /** Start of the newest round that a majority has answered; undefined before the first. */
+  private confirmedSince: number | undefined;
 
   constructor(
     private readonly state: RaftState,
@@ -39,7 +39,7 @@
   get confirmedAt(): number | undefined {
     const { state } = this;
     if (state.role !== 'leader') return undefined;
-    return state.mechanisms.confirmReads ? this.confirmations.confirmedAt : state.now;
+    return state.mechanisms.confirmReads ? this.confirmedSince : state.now;
   }
 
   /** This replica was elected. */
@@ -129,7 +129,7 @@
   private end(): void {
     this.timer?.cancel();
     this.progress.clear();
-    this.confirmations.clear();
+    this.confirmedSince = undefined;
     this.reads.failUnconfirmed();
     this.applied.failProposals({ type: 'unknown' });
   }
@@ -237,10 +237,19 @@
     if (wasRemoved) state.stepDown();
   }
 
+  /**
+   * A majority that answers the round confirms the leader as of now: no other one had been elected by then, so nothing
+   * unknown here had been acknowledged.
+   */
   private beginRound(): void {
     this.round += 1;
+    const { state, reads } = this;
     // Before its first commit a leader does not know yet what was acknowledged.
-    if (this.state.hasCommittedInTerm) this.confirmations.onRound(this.round, this.state.now);
+    if (!state.hasCommittedInTerm) return;
+    const { now, commitIndex } = state;
+    reads.addUnconfirmed(this.round, commitIndex, (index) => {
+      if (index !== undefined) this.confirmedSince = now;
+    });
   }
 
   private confirmReads(): void {
@@ -249,7 +258,6 @@
       identity === state.identity ? this.round : this.of(identity).answeredRound,
     );
     this.reads.onConfirmed(confirmedRound);
-    this.confirmations.onConfirmed(confirmedRound);
   }
 
   /** A set may be changed once the last change, and an entry of this term, are committed. */
--- a/src/control/quota-keeper.ts
+++ b/src/control/quota-keeper.ts
@@ -50,11 +50,6 @@
     return rate === undefined ? undefined : handedOutInWindow(rate, this.rule);
   }
 
-  /** Requests in a window that all ingresses together may let run of a group now. */
-  committed(group: string): number {
-    return this.ledger.committed(group);
-  }
-
   private readGroups(): void {
     const { store } = this;
     if (store.revision === this.knownRevision) return;
--- a/src/programs/control-program.ts
+++ b/src/programs/control-program.ts
@@ -39,10 +39,11 @@
 import { delay, within, type Program } from './program.js';
 
 const EXPIRE_INTERVAL_MS = 500;
-/** Part of the 3 s from the third crash under a request until all processes keep it from targets. */
-const QUARANTINE_CHECK_INTERVAL_MS = 100;
-/** Shorter than an election, so that each leader has its line. */
-const LEADERSHIP_CHECK_INTERVAL_MS = 100;
+/**
+ * Part of the 3 s from the third crash under a request until all processes keep it from targets; shorter than an
+ * election, so that each leader has its line.
+ */
+const LEADER_CHECK_INTERVAL_MS = 100;
 /** A replica that stops answers this long, so that clients are told to ask another. */
 const STOP_LINGER_MS = 200;
 const STOP_TIMEOUT_MS = 1_000;
@@ -134,11 +135,10 @@
     if (settings.claims) claimViews.check();
   }, EXPIRE_INTERVAL_MS);
   const leadership = new LeadershipLog(logger.part('replication'));
-  const leadershipCheck = setInterval(
-    () => leadership.check(log.status()),
-    LEADERSHIP_CHECK_INTERVAL_MS,
-  );
-  const quarantineCheck = setInterval(() => quarantines.check(), QUARANTINE_CHECK_INTERVAL_MS);
+  const leaderCheck = setInterval(() => {
+    leadership.check(log.status());
+    quarantines.check();
+  }, LEADER_CHECK_INTERVAL_MS);
   host.start();
   platformList?.start();
   logger.info('Listening.', { origin: server.origin, admin: admin.origin });
@@ -147,8 +147,7 @@
     origins: { listen: server.origin, admin: admin.origin },
     stop: async () => {
       clearInterval(expiry);
-      clearInterval(quarantineCheck);
-      clearInterval(leadershipCheck);
+      clearInterval(leaderCheck);
       platformList?.stop();
       watches.close();
       await log.close();
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -105,11 +105,6 @@
     return { sequence, grants: this.grant(entry, now) };
   }
 
-  /** Most requests of the group in a window that all ingresses together may let run now. */
-  committed(group: string): number {
-    return this.totals.get(group)?.committed ?? 0;
-  }
-
   private grant(entry: IngressEntry, now: number): GroupGrant[] {
     const grants: GroupGrant[] = [];
     for (const [group, commitment] of entry.commitments) {
