Settings of a sidecar and processes of benches in one place each

The settings of a sidecar stood in six tests, the bare proxies, the target and the sum of processor times in two benches. Tests keep their assertions.

--- a/bench/cold-calls.ts
+++ b/bench/cold-calls.ts
@@ -6,19 +6,12 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
 import { cac } from 'cac';
 import { median } from '../lab/experiment/summary.js';
-import { FleetChild } from '../lab/fleet/child-process.js';
+import { processorMsOf, REQUEST_HEADERS, startBenchTarget, withBareProxies } from './comparison.js';
 import { LoadSource } from './load.js';
-import { processorMs } from './process-usage.js';
-import { BENCH_HOST, SidecarFleet } from './sidecar-fleet.js';
+import { SidecarFleet } from './sidecar-fleet.js';
 
-const SCRIPTS = {
-  target: fileURLToPath(new URL('./bench-target.js', import.meta.url)),
-  proxy: fileURLToPath(new URL('./bare-proxy.js', import.meta.url)),
-};
-const REQUEST_HEADERS = { host: BENCH_HOST, 'x-request-id': 'bench' };
 const CALLS_PER_SECOND = 80;
 /** Ends of the stretches that are told apart, in calls since the start. */
 const STRETCH_ENDS = [100, 400, 1_000, 2_000] as const;
@@ -26,20 +19,16 @@
 /** Processor milliseconds a call in each stretch. */
 type StretchCosts = readonly number[];
 
-function used(pids: readonly number[]): number {
-  return pids.reduce((sum, pid) => sum + processorMs(pid), 0);
-}
-
 async function measureCalls(origin: string, pids: readonly number[]): Promise<StretchCosts> {
   const source = new LoadSource(origin, REQUEST_HEADERS);
   const costs: number[] = [];
   let done = 0;
   for (const end of STRETCH_ENDS) {
     const calls = end - done;
-    const from = used(pids);
+    const from = processorMsOf(pids);
     const { failed } = await source.atRate(CALLS_PER_SECOND, calls);
     if (failed > calls / 2) throw new Error(`${failed} of ${calls} requests failed`);
-    costs.push((used(pids) - from) / calls);
+    costs.push((processorMsOf(pids) - from) / calls);
     done = end;
   }
   await source.close();
@@ -58,18 +47,6 @@
   }
 }
 
-async function measureProxies(workDir: string, target: string): Promise<StretchCosts> {
-  const start = (name: string, origin: string): Promise<FleetChild> =>
-    FleetChild.start(name, SCRIPTS.proxy, [origin], join(workDir, `${name}.log`));
-  const inner = await start('bare-inner', target);
-  const outer = await start('bare-outer', inner.origin('listen'));
-  try {
-    return await measureCalls(outer.origin('listen'), [inner.pid, outer.pid]);
-  } finally {
-    await Promise.all([inner.kill(), outer.kill()]);
-  }
-}
-
 function report(name: string, rounds: readonly StretchCosts[]): void {
   const costs = STRETCH_ENDS.map((end, index) => {
     const cost = median(rounds.map((round) => round[index]!));
@@ -81,13 +58,13 @@
 
 async function run(rounds: number): Promise<void> {
   const workDir = mkdtempSync(join(tmpdir(), 'shoredoor-bench-'));
-  const target = await FleetChild.start('target', SCRIPTS.target, [], join(workDir, 'target.log'));
+  const target = await startBenchTarget(workDir);
   try {
     const origin = target.origin('listen');
     const proxies: StretchCosts[] = [];
     const sidecars: StretchCosts[] = [];
     for (let round = 0; round < rounds; round += 1) {
-      proxies.push(await measureProxies(workDir, origin));
+      proxies.push(await withBareProxies(workDir, origin, measureCalls));
       sidecars.push(await measureSidecars(workDir, origin));
     }
     report('two bare proxies', proxies);
--- /dev/null
+++ b/bench/comparison.ts
@@ -0,0 +1,41 @@
+/** What the benches of sidecars share: the target, two bare proxies to compare with, and the processor time of several processes. */
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { FleetChild } from '../lab/fleet/child-process.js';
+import { processorMs } from './process-usage.js';
+import { BENCH_HOST } from './sidecar-fleet.js';
+
+const SCRIPTS = {
+  target: fileURLToPath(new URL('./bench-target.js', import.meta.url)),
+  proxy: fileURLToPath(new URL('./bare-proxy.js', import.meta.url)),
+};
+
+/** Headers with which requests find the one declared route. */
+export const REQUEST_HEADERS = { host: BENCH_HOST, 'x-request-id': 'bench' };
+
+/** Processor milliseconds of these processes since their starts. */
+export function processorMsOf(pids: readonly number[]): number {
+  return pids.reduce((sum, pid) => sum + processorMs(pid), 0);
+}
+
+/** Starts the target; its log goes into `workDir`. */
+export function startBenchTarget(workDir: string): Promise<FleetChild> {
+  return FleetChild.start('target', SCRIPTS.target, [], join(workDir, 'target.log'));
+}
+
+/** Runs `measure` with two bare proxies in a row before `target`, and ends them. */
+export async function withBareProxies<Result>(
+  workDir: string,
+  target: string,
+  measure: (origin: string, pids: readonly number[]) => Promise<Result>,
+): Promise<Result> {
+  const start = (name: string, origin: string): Promise<FleetChild> =>
+    FleetChild.start(name, SCRIPTS.proxy, [origin], join(workDir, `${name}.log`));
+  const inner = await start('bare-inner', target);
+  const outer = await start('bare-outer', inner.origin('listen'));
+  try {
+    return await measure(outer.origin('listen'), [inner.pid, outer.pid]);
+  } finally {
+    await Promise.all([inner.kill(), outer.kill()]);
+  }
+}
--- a/bench/sidecar-cost.ts
+++ b/bench/sidecar-cost.ts
@@ -5,19 +5,13 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
 import { cac } from 'cac';
 import { median } from '../lab/experiment/summary.js';
-import { FleetChild } from '../lab/fleet/child-process.js';
+import { processorMsOf, REQUEST_HEADERS, startBenchTarget, withBareProxies } from './comparison.js';
 import { LoadSource, quantile, type LoadResult } from './load.js';
 import { processorMs, residentMegabytes } from './process-usage.js';
-import { BENCH_HOST, SidecarFleet } from './sidecar-fleet.js';
+import { SidecarFleet } from './sidecar-fleet.js';
 
-const SCRIPTS = {
-  target: fileURLToPath(new URL('./bench-target.js', import.meta.url)),
-  proxy: fileURLToPath(new URL('./bare-proxy.js', import.meta.url)),
-};
-const REQUEST_HEADERS = { host: BENCH_HOST, 'x-request-id': 'bench' };
 const FIRST_CALLS = 100;
 const WARMUP_CALLS = 3_000;
 const MEASURED_CALLS = 10_000;
@@ -42,10 +36,6 @@
   readonly megabytes: number;
 }
 
-function used(pids: readonly number[]): number {
-  return pids.reduce((sum, pid) => sum + processorMs(pid), 0);
-}
-
 function sleep(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
@@ -62,18 +52,18 @@
     const pids = fleet.sidecars.map(({ child }) => child.pid);
     const startProcessorMs = median(pids.map(processorMs));
     await sleep(SETTLE_MS);
-    const idleFrom = used(pids);
+    const idleFrom = processorMsOf(pids);
     await sleep(IDLE_MS);
-    const idleMsPerSecond = ((used(pids) - idleFrom) * MILLISECONDS) / IDLE_MS / size;
+    const idleMsPerSecond = ((processorMsOf(pids) - idleFrom) * MILLISECONDS) / IDLE_MS / size;
     const ingress = fleet.sidecars.find(({ service }) => service === 'caller')!.child;
     const source = new LoadSource(ingress.origin('outbound'), REQUEST_HEADERS);
     // A gate that has just started lets in no more than it has seen answered: the first calls come one by one.
     await source.atOnce(1, FIRST_CALLS);
     failOnErrors('warm-up', await source.atOnce(CONCURRENCY, WARMUP_CALLS));
-    const callsFrom = used(pids);
+    const callsFrom = processorMsOf(pids);
     const load = failOnErrors('sidecars', await source.atOnce(CONCURRENCY, MEASURED_CALLS));
     const idleMs = (idleMsPerSecond * size * load.durationMs) / MILLISECONDS;
-    const processorMsPerCall = (used(pids) - callsFrom - idleMs) / MEASURED_CALLS;
+    const processorMsPerCall = (processorMsOf(pids) - callsFrom - idleMs) / MEASURED_CALLS;
     await source.close();
     return {
       size,
@@ -89,24 +79,15 @@
   }
 }
 
-/** Processor milliseconds a call of two bare proxies in a row. */
-async function measureBareProxies(workDir: string, target: string): Promise<number> {
-  const start = (name: string, origin: string): Promise<FleetChild> =>
-    FleetChild.start(name, SCRIPTS.proxy, [origin], join(workDir, `${name}.log`));
-  const inner = await start('bare-inner', target);
-  const outer = await start('bare-outer', inner.origin('listen'));
-  try {
-    const source = new LoadSource(outer.origin('listen'), REQUEST_HEADERS);
-    failOnErrors('warm-up', await source.atOnce(CONCURRENCY, WARMUP_CALLS));
-    const pids = [inner.pid, outer.pid];
-    const from = used(pids);
-    failOnErrors('bare proxies', await source.atOnce(CONCURRENCY, MEASURED_CALLS));
-    const perCall = (used(pids) - from) / MEASURED_CALLS;
-    await source.close();
-    return perCall;
-  } finally {
-    await Promise.all([inner.kill(), outer.kill()]);
-  }
+/** Processor milliseconds a call of the processes behind `origin`. */
+async function measureProxies(origin: string, pids: readonly number[]): Promise<number> {
+  const source = new LoadSource(origin, REQUEST_HEADERS);
+  failOnErrors('warm-up', await source.atOnce(CONCURRENCY, WARMUP_CALLS));
+  const from = processorMsOf(pids);
+  failOnErrors('bare proxies', await source.atOnce(CONCURRENCY, MEASURED_CALLS));
+  const perCall = (processorMsOf(pids) - from) / MEASURED_CALLS;
+  await source.close();
+  return perCall;
 }
 
 function report(figures: FleetFigures, bareMsPerCall: number): void {
@@ -122,10 +103,10 @@
 
 async function run(sizes: readonly number[]): Promise<void> {
   const workDir = mkdtempSync(join(tmpdir(), 'shoredoor-bench-'));
-  const target = await FleetChild.start('target', SCRIPTS.target, [], join(workDir, 'target.log'));
+  const target = await startBenchTarget(workDir);
   try {
     const origin = target.origin('listen');
-    const bareMsPerCall = await measureBareProxies(workDir, origin);
+    const bareMsPerCall = await withBareProxies(workDir, origin, measureProxies);
     process.stdout.write(`two bare proxies: ${bareMsPerCall.toFixed(3)} ms processor a call\n`);
     for (const size of sizes) {
       const fleetDir = mkdtempSync(join(workDir, `fleet-${size}-`));
--- a/test/follower/forgotten-connection.test.ts
+++ b/test/follower/forgotten-connection.test.ts
@@ -7,12 +7,11 @@
 import { freePorts } from '../../lab/fleet/free-ports.js';
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
-import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
+import { startLoneControl } from '../support/lone-control.js';
 import { LoopbackProxy } from '../../lab/soak/loopback-proxy.js';
 import { Cleanup, until } from '../support/processes.js';
+import { sidecarSettings } from '../support/sidecar-settings.js';
 
-const ANY_ADDRESS = '127.0.0.1:0';
 /** A confirmed change is in force everywhere within this time: the promise of docs/PROOFS.md. */
 const IN_FORCE_MS = 2_000;
 
@@ -29,17 +28,8 @@
     await startLoneControl(cleanup, `127.0.0.1:${port}`, proxy.origin);
     await until(() => declare(1, 0, 'first'));
     const sidecar = await startSidecar(
-      sidecarSettingsSchema.parse({
-        id: 'sidecar-1',
-        zone: 'zone-a',
-        service: 'ledger',
-        inbound: ANY_ADDRESS,
-        outbound: ANY_ADDRESS,
-        registration: ANY_ADDRESS,
-        admin: ANY_ADDRESS,
-        control: [proxy.origin],
+      sidecarSettings(proxy.origin, {
         heartbeatIntervalMs: 1_000,
-        linkToken: LONE_LINK_TOKEN,
         stop: { drainMs: 0, timeoutMs: 0 },
       }),
       SILENT_LOGGER,
--- a/test/programs/report-before-set.test.ts
+++ b/test/programs/report-before-set.test.ts
@@ -2,11 +2,9 @@
 import { request } from 'undici';
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
-import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
+import { startLoneControl } from '../support/lone-control.js';
 import { Cleanup, until } from '../support/processes.js';
-
-const ANY_ADDRESS = '127.0.0.1:0';
+import { sidecarSettings } from '../support/sidecar-settings.js';
 
 /**
  * Targets report themselves as soon as they run, some seconds before an operator declares the first set; their reports were
@@ -23,18 +21,7 @@
   it('is believed', async () => {
     const control = await startLoneControl(cleanup);
     const sidecar = await startSidecar(
-      sidecarSettingsSchema.parse({
-        id: 'sidecar-1',
-        zone: 'zone-a',
-        service: 'ledger',
-        inbound: ANY_ADDRESS,
-        outbound: ANY_ADDRESS,
-        registration: ANY_ADDRESS,
-        admin: ANY_ADDRESS,
-        control: [control.origins.listen],
-        linkToken: LONE_LINK_TOKEN,
-        stop: { drainMs: 0, timeoutMs: 0 },
-      }),
+      sidecarSettings(control.origins.listen, { stop: { drainMs: 0, timeoutMs: 0 } }),
       SILENT_LOGGER,
     );
     cleanup.add(() => sidecar.stop());
--- a/test/programs/sidecar-groups.test.ts
+++ b/test/programs/sidecar-groups.test.ts
@@ -4,12 +4,11 @@
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
 import type { Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
-import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
+import { startLoneControl } from '../support/lone-control.js';
 import { Cleanup, until } from '../support/processes.js';
+import { sidecarSettings } from '../support/sidecar-settings.js';
 import { ScriptedTarget } from '../support/scripted-target.js';
 
-const ANY_ADDRESS = '127.0.0.1:0';
 /** Time within which a key that was taken away runs nowhere, in milliseconds. */
 const REVOKED_WITHIN_MS = 1_500;
 const RATE = 4;
@@ -43,17 +42,8 @@
     cleanup.add(() => target.stop());
     control = await startLoneControl(cleanup);
     sidecar = await startSidecar(
-      sidecarSettingsSchema.parse({
-        id: 'sidecar-1',
-        zone: 'zone-a',
-        service: 'ledger',
-        inbound: ANY_ADDRESS,
-        outbound: ANY_ADDRESS,
-        registration: ANY_ADDRESS,
-        admin: ANY_ADDRESS,
-        control: [control.origins.listen],
+      sidecarSettings(control.origins.listen, {
         heartbeatIntervalMs: 200,
-        linkToken: LONE_LINK_TOKEN,
         revocation: { withinMs: REVOKED_WITHIN_MS },
       }),
       SILENT_LOGGER,
--- a/test/programs/sidecar.test.ts
+++ b/test/programs/sidecar.test.ts
@@ -5,13 +5,13 @@
 import type { Program } from '../../src/programs/program.js';
 import { isFramed } from '../../src/http/target-headers.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { sidecarSettingsSchema, type SidecarSettings } from '../../src/settings/schemas.js';
+import type { SidecarSettings } from '../../src/settings/schemas.js';
 import { answer, ScriptedTarget, type Script } from '../support/scripted-target.js';
 import { LoopbackProxy } from '../../lab/soak/loopback-proxy.js';
-import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
+import { startLoneControl } from '../support/lone-control.js';
+import { sidecarSettings } from '../support/sidecar-settings.js';
 import { Cleanup, until } from '../support/processes.js';
 
-const ANY_ADDRESS = '127.0.0.1:0';
 const CLOSED_SILENTLY = '';
 /** A process that is ready makes no client wait this long. */
 const CONTACT_MS = 3_000;
@@ -58,18 +58,10 @@
   after(() => cleanup.run());
 
   function settingsOf(id: string): SidecarSettings {
-    return sidecarSettingsSchema.parse({
+    return sidecarSettings(control.origins.listen, {
       id,
-      zone: 'zone-a',
-      service: 'ledger',
-      inbound: ANY_ADDRESS,
-      outbound: ANY_ADDRESS,
-      registration: ANY_ADDRESS,
-      admin: ANY_ADDRESS,
-      control: [control.origins.listen],
       heartbeatIntervalMs: 100,
       retries: { ratio: 1, slack: 100, windowMs: 1_000 },
-      linkToken: LONE_LINK_TOKEN,
       stop: { drainMs: 0, timeoutMs: 0 },
     });
   }
--- a/test/support/calling-targets.ts
+++ b/test/support/calling-targets.ts
@@ -8,11 +8,10 @@
 import { createLogger } from '../../src/observe/logger.js';
 import { within, type Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
-import { LONE_LINK_TOKEN, startLoneControl } from './lone-control.js';
+import { startLoneControl } from './lone-control.js';
+import { sidecarSettings } from './sidecar-settings.js';
 import { Cleanup, until } from './processes.js';
 
-const ANY_ADDRESS = '127.0.0.1:0';
 const HOST = 'shop.example';
 const REPORT_INTERVAL_MS = 300;
 const STATUS_OK = 200;
@@ -119,17 +118,10 @@
   }
 
   private async startSidecar(service: string, control: Program, graceMs: number): Promise<void> {
-    const settings = sidecarSettingsSchema.parse({
+    const settings = sidecarSettings(control.origins.listen, {
       id: `sidecar-${service}`,
-      zone: 'zone-a',
       service,
-      inbound: ANY_ADDRESS,
-      outbound: ANY_ADDRESS,
-      registration: ANY_ADDRESS,
-      admin: ANY_ADDRESS,
-      control: [control.origins.listen],
       heartbeatIntervalMs: 200,
-      linkToken: LONE_LINK_TOKEN,
       stop: { graceMs },
     });
     const logger = createLogger('sidecar', settings.id, 'error');
--- a/test/support/crashing-targets.ts
+++ b/test/support/crashing-targets.ts
@@ -8,11 +8,10 @@
 import { SILENT_LOGGER } from '../../src/observe/logger.js';
 import type { Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { sidecarSettingsSchema } from '../../src/settings/schemas.js';
-import { LONE_LINK_TOKEN, RestartableControl } from './lone-control.js';
+import { RestartableControl } from './lone-control.js';
+import { sidecarSettings } from './sidecar-settings.js';
 import { Cleanup, until } from './processes.js';
 
-const ANY_ADDRESS = '127.0.0.1:0';
 const LOOPBACK = '127.0.0.1';
 const HOST = 'shop.example';
 const HEARTBEAT_MS = 200;
@@ -245,17 +244,10 @@
   }
 
   async startSidecar(control: RestartableControl): Promise<void> {
-    const settings = sidecarSettingsSchema.parse({
+    const settings = sidecarSettings(control.origin, {
       id: `sidecar-${this.index}`,
-      zone: 'zone-a',
       service: this.service,
-      inbound: ANY_ADDRESS,
-      outbound: ANY_ADDRESS,
-      registration: ANY_ADDRESS,
-      admin: ANY_ADDRESS,
-      control: [control.origin],
       heartbeatIntervalMs: HEARTBEAT_MS,
-      linkToken: LONE_LINK_TOKEN,
     });
     this.sidecar = await startSidecar(settings, SILENT_LOGGER);
   }
