Origins of calls: count the machines that call a gate of many, and presume early

Ruled out: a lower number of calls alone (3): 20 of 95 gates mistaken. Change: expected callers are counted beside expected calls where only a part of the machines calls a gate; the limit by kind leaves calls alone that are presumed to be targets'. Machines keep the block of their zone in the model.

The new tests fail without the change.

--- a/lab/simulator/sidecars/call-graph.ts
+++ b/lab/simulator/sidecars/call-graph.ts
@@ -36,6 +36,8 @@
 }
 
 export interface CallGraph {
+  /** Zones, each with a block of the targets of every service. Default: three, which take the targets in turn. */
+  readonly zones?: number;
   readonly services: readonly SimService[];
   readonly routes: readonly SimRoute[];
 }
--- a/lab/simulator/sidecars/sidecar-world.ts
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -35,6 +35,8 @@
 const STATUS_NOT_RUN = 503;
 /** A client heeds `Retry-After` for no more than this part of the time it has left. */
 const HEEDED_PART = 1 / 3;
+/** Zones of a graph that gives none. */
+const DEFAULT_ZONES = 3;
 /** Time at the end of a run in which requests under way finish. */
 const SETTLE_MS = 10_000;
 
@@ -59,7 +61,8 @@
     for (const service of graph.services) {
       for (let index = 0; index < service.targets; index += 1) {
         const factor = service.workFactors[index % service.workFactors.length]!;
-        this.add(new SimSidecar(this, service, index, factor));
+        const place = { index, zone: zoneOf(index, service.targets, graph.zones) };
+        this.add(new SimSidecar(this, service, place, factor));
       }
     }
     const records = this.all.map((sidecar) => sidecar.record);
@@ -175,3 +178,9 @@
     return result;
   }
 }
+
+/** @param zones blocks that the targets are divided into; undefined: they take turns */
+function zoneOf(index: number, targets: number, zones: number | undefined): string {
+  if (zones === undefined) return `zone-${index % DEFAULT_ZONES}`;
+  return `zone-${Math.floor((index * zones) / targets)}`;
+}
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -37,6 +37,7 @@
 import { OriginTracker } from '../../../src/routing/origin-tracker.js';
 import { RepeatedRuns } from '../../../src/retry/repeated-runs.js';
 import { ServiceRetryBudget } from '../../../src/retry/service-retry-budget.js';
+import { callingPart } from '../../../src/routing/subset.js';
 import { ServiceDirectory } from '../../../src/routing/service-directory.js';
 import { DEFAULT_RETRY_BOUND } from '../../../src/settings/schemas.js';
 import type { ArrivalLedger } from './arrival-ledger.js';
@@ -47,9 +48,6 @@
 import { SimTargetWork } from './sim-target-work.js';
 import type { Cancellable } from '../../model/cancellable.js';
 
-/** Targets of a service are spread over this many zones in turn. */
-const ZONES = 3;
-
 /** What the machines of a run share. */
 export interface SidecarNeighbours {
   readonly clock: VirtualClock;
@@ -63,6 +61,13 @@
   readonly arrivals: ArrivalLedger;
 }
 
+/** Where a machine stands. */
+export interface SimPlace {
+  /** Its number among the machines of its service. */
+  readonly index: number;
+  readonly zone: string;
+}
+
 /** A request's final answer at its ingress. */
 export interface SimAnswer {
   readonly status: number;
@@ -89,7 +94,7 @@
   constructor(
     private readonly world: SidecarNeighbours,
     readonly service: SimService,
-    index: number,
+    { index, zone }: SimPlace,
     private readonly workFactor: number,
   ) {
     const { clock, random } = world;
@@ -98,7 +103,7 @@
       id,
       incarnation: 1,
       service: service.name,
-      zone: zoneOf(index),
+      zone,
       origin: id,
       state: 'ready',
     };
@@ -117,7 +122,10 @@
       gates: () => service.targets,
     });
     this.repeatedRuns = new RepeatedRuns();
-    this.origins = new OriginTracker(() => this.directory.machines);
+    this.origins = new OriginTracker(
+      () => this.directory.machines,
+      () => callingPart(service.targets),
+    );
     this.services = this.createServices();
     this.router = new OutboundRouter({
       clock,
@@ -199,7 +207,11 @@
         const reason = result.type === 'broken' ? 'broken-answer' : result.refusal.reason;
         answer(0, call.takeOutcome(verdict, reason));
       },
-      new GateCallRules(this.services, context, gateOptions(frame, isNested)),
+      new GateCallRules(
+        this.services,
+        context,
+        gateOptions(frame, isNested, this.origins.isPresumedNested(frame.kind)),
+      ),
     );
     transport.onRelayed = (status) => answer(status, call.takeOutcome('ran', undefined));
     call.start();
@@ -292,7 +304,3 @@
     return isRepeat;
   }
 }
-
-function zoneOf(index: number): string {
-  return `zone-${index % ZONES}`;
-}
--- a/src/gate/gate-call-rules.ts
+++ b/src/gate/gate-call-rules.ts
@@ -17,6 +17,11 @@
 export interface GateCallOptions {
   /** Whether a target makes the call. */
   readonly isNested: boolean;
+  /**
+   * Whether a target made it as far as the few calls of its kind tell that were seen yet. The limit by kind leaves such calls
+   * alone: after a start, it refused them until enough had come, and their callers' work was lost. Default: `isNested`.
+   */
+  readonly isPresumedNested?: boolean;
   /** A call that waits longer than this to be let in reports overload, in milliseconds. */
   readonly congestedAfterMs: number;
 }
@@ -43,7 +48,7 @@
   }
 
   enterKind(): KindRefusal | undefined {
-    return this.kindUse.enter(this.isNested);
+    return this.kindUse.enter(this.options.isPresumedNested ?? this.isNested);
   }
 
   enterRepeat(): boolean {
--- a/src/gate/gate-policy.ts
+++ b/src/gate/gate-policy.ts
@@ -78,7 +78,18 @@
   };
 }
 
-/** What the gate knows of a call besides its context. */
-export function gateOptions(frame: CallFrameContext, isNested: boolean): GateCallOptions {
-  return { isNested, congestedAfterMs: CONGESTED_WAIT_FRACTION * frame.waitMs };
+/**
+ * What the gate knows of a call besides its context.
+ * @param isPresumedNested whether all that was seen of its kind yet suggests that a target made it
+ */
+export function gateOptions(
+  frame: CallFrameContext,
+  isNested: boolean,
+  isPresumedNested: boolean,
+): GateCallOptions {
+  return {
+    isNested,
+    isPresumedNested,
+    congestedAfterMs: CONGESTED_WAIT_FRACTION * frame.waitMs,
+  };
 }
--- a/src/gate/gate-server.ts
+++ b/src/gate/gate-server.ts
@@ -14,7 +14,7 @@
 import { arrivalRefusal, type ArrivalRefusal } from './arrival-rules.js';
 import { gateContext, gateOptions } from './gate-policy.js';
 import { InboundCall } from './inbound-call.js';
-import { GateCallRules } from './gate-call-rules.js';
+import { GateCallRules, type GateCallOptions } from './gate-call-rules.js';
 import type { GateServices, InboundResult } from './inbound-services.js';
 import { unbegunOutcome, type Outcome } from '../call/outcome.js';
 import type { RefusalReason } from '../call/refusal.js';
@@ -45,7 +45,8 @@
     origins.onCall(frame.kind, headerOf(headers, transport.names.callingService) ?? '');
     const isNested = origins.isNested(frame.kind);
     const context = gateContext(frame, isNested, services.clock.now());
-    const exchange = new GateExchange(this.options, call, context, isNested);
+    const options = gateOptions(frame, isNested, origins.isPresumedNested(frame.kind));
+    const exchange = new GateExchange(this.options, call, context, options);
     this.underWay.add(exchange);
     exchange.start(() => this.underWay.delete(exchange));
   };
@@ -67,7 +68,7 @@
     private readonly options: GateServerOptions,
     private readonly incoming: IncomingLinkCall,
     private readonly context: CallContext,
-    private readonly isNested: boolean,
+    private readonly callOptions: GateCallOptions,
   ) {
     this.startedAt = options.services.clock.now();
   }
@@ -93,7 +94,7 @@
       services,
       new GateTransport(transport, context, incoming),
       (result) => this.onResult(call, result),
-      new GateCallRules(services, context, gateOptions(incoming.frame.context, this.isNested)),
+      new GateCallRules(services, context, this.callOptions),
     );
     this.call = call;
     incoming.takeOutcome = (): Outcome => call.takeOutcome('ran', undefined);
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -9,6 +9,7 @@
 import { NO_CLAIMS } from '../dedup/no-claims.js';
 import { GateServer } from '../gate/gate-server.js';
 import { OriginTracker } from '../routing/origin-tracker.js';
+import { callingPart } from '../routing/subset.js';
 import type { SidecarParts } from './sidecar-parts.js';
 
 /** Takes calls of other machines for the target. */
@@ -40,7 +41,10 @@
     stats: parts.inboundStats,
     service: () => lease.current?.service,
     journal,
-    origins: new OriginTracker(() => parts.directory.machines),
+    origins: new OriginTracker(
+      () => parts.directory.machines,
+      () => callingPart(parts.directory.machines.get(parts.settings.service) ?? 0),
+    ),
     durations,
   });
 }
--- a/src/routing/origin-tracker.ts
+++ b/src/routing/origin-tracker.ts
@@ -25,13 +25,34 @@
  */
 const MIN_EXPECTED_CALLS = 14;
 
-/** Calls of a route after which a conclusion is drawn anew: it costs a look at every service. Not measured. */
+/**
+ * Machines of those services that are expected to call here, before their absence means something: each machine uses a few
+ * gates of a service alone, so at one gate of many the calls of clients come from few machines again and again. By calls
+ * alone such a gate took clients' requests for those of targets for good, and limited none of them.
+ */
+const MIN_EXPECTED_CALLERS = 7;
+
+/**
+ * Expected calls, and expected callers, from which a route is presumed to be called by targets: about what comes while the
+ * first limit of a kind is used up.
+ */
+const MIN_EXPECTED_TO_PRESUME = 3;
+
+/** Calls of a route after which a conclusion is drawn anew, but for the first ones: it costs a look at every service. */
 const CONCLUDE_EVERY = 20;
 
+/** Who makes the calls of a route, as far as is known. */
+enum CallMaker {
+  Unknown,
+  /** Nothing speaks against targets yet, but little has been seen. */
+  PresumedTargets,
+  Targets,
+}
+
 interface RouteOrigins {
   total: number;
   readonly byService: Map<string, number>;
-  isNested: boolean;
+  maker: CallMaker;
   /** Calls until the next conclusion. */
   untilConclusion: number;
 }
@@ -39,8 +60,14 @@
 export class OriginTracker {
   private readonly routes = new Map<string, RouteOrigins>();
 
-  /** @param machines number of machines of each service */
-  constructor(private readonly machines: () => ReadonlyMap<string, number>) {}
+  /**
+   * @param machines number of machines of each service
+   * @param callingPart part of all machines that send calls to this gate, 0 to 1. Default: all
+   */
+  constructor(
+    private readonly machines: () => ReadonlyMap<string, number>,
+    private readonly callingPart: () => number = () => 1,
+  ) {}
 
   /** A call arrived on `route` that began on a machine of `service`. */
   onCall(route: string, service: string): void {
@@ -49,14 +76,21 @@
     origins.byService.set(service, (origins.byService.get(service) ?? 0) + 1);
     if (origins.total >= MAX_CALLS) fade(origins);
     origins.untilConclusion -= 1;
-    if (origins.untilConclusion > 0) return;
+    const isNew = origins.total < CONCLUDE_EVERY;
+    if (!isNew && origins.untilConclusion > 0) return;
     origins.untilConclusion = CONCLUDE_EVERY;
-    origins.isNested = isNested(origins, this.machines());
+    origins.maker = callMaker(origins, this.machines(), this.callingPart());
   }
 
   /** Whether targets make the calls of `route`, as far as is known. */
   isNested(route: string): boolean {
-    return this.routes.get(route)?.isNested ?? false;
+    return this.routes.get(route)?.maker === CallMaker.Targets;
+  }
+
+  /** Whether all that was seen yet suggests that targets make the calls of `route`, however little that is. */
+  isPresumedNested(route: string): boolean {
+    const maker = this.routes.get(route)?.maker ?? CallMaker.Unknown;
+    return maker !== CallMaker.Unknown;
   }
 
   private origins(route: string): RouteOrigins {
@@ -65,7 +99,7 @@
     const created: RouteOrigins = {
       total: 0,
       byService: new Map(),
-      isNested: false,
+      maker: CallMaker.Unknown,
       untilConclusion: CONCLUDE_EVERY,
     };
     this.routes.set(route, created);
@@ -73,20 +107,32 @@
   }
 }
 
-function isNested(origins: RouteOrigins, machines: ReadonlyMap<string, number>): boolean {
+function callMaker(
+  origins: RouteOrigins,
+  machines: ReadonlyMap<string, number>,
+  callingPart: number,
+): CallMaker {
   const services = new Set([...machines.keys(), ...origins.byService.keys()]);
-  if (services.size < MIN_SERVICES) return false;
+  if (services.size < MIN_SERVICES) return CallMaker.Unknown;
   const allMachines = sum(machines.values());
-  let expectedFromAbsent = 0;
+  let absentMachines = 0;
   let present = 0;
   for (const service of services) {
-    const expected = (origins.total * (machines.get(service) ?? 0)) / allMachines;
+    const count = machines.get(service) ?? 0;
+    const expected = (origins.total * count) / allMachines;
     const calls = origins.byService.get(service) ?? 0;
     if (calls > MIN_PART_OF_EXPECTED * expected) present += 1;
-    else expectedFromAbsent += expected;
+    else absentMachines += count;
+  }
+  if (present > services.size * MAX_ORIGIN_PART) return CallMaker.Unknown;
+  const expectedCalls = (origins.total * absentMachines) / allMachines;
+  // Where all machines call here, calls are as independent as their callers.
+  const expectedCallers = callingPart < 1 ? absentMachines * callingPart : Infinity;
+  if (expectedCalls >= MIN_EXPECTED_CALLS && expectedCallers >= MIN_EXPECTED_CALLERS) {
+    return CallMaker.Targets;
   }
-  if (expectedFromAbsent < MIN_EXPECTED_CALLS) return false;
-  return present <= services.size * MAX_ORIGIN_PART;
+  const isLikely = Math.min(expectedCalls, expectedCallers) >= MIN_EXPECTED_TO_PRESUME;
+  return isLikely ? CallMaker.PresumedTargets : CallMaker.Unknown;
 }
 
 function sum(numbers: Iterable<number>): number {
--- a/src/routing/subset.ts
+++ b/src/routing/subset.ts
@@ -12,6 +12,11 @@
  */
 const SUBSET_SIZE = 8;
 
+/** Part of all callers that have one endpoint of a service in their subset. @param endpoints of the service */
+export function callingPart(endpoints: number): number {
+  return Math.min(1, SUBSET_SIZE / Math.max(1, endpoints));
+}
+
 /**
  * Picks the subset. Half of it, at least, comes from the caller's own zone when that zone has
  * enough endpoints, so that calls can stay there.
--- a/test/routing/origin-tracker.test.ts
+++ b/test/routing/origin-tracker.test.ts
@@ -80,3 +80,77 @@
     expect(tracker.isNested('limit-read')).to.equal(false);
   });
 });
+
+/** A fleet in which each machine calls 8 of the gates of a service. */
+const LARGE_MACHINES = [
+  { service: 'search', machines: 95 },
+  { service: 'registry', machines: 68 },
+  { service: 'bundles', machines: 19 },
+  { service: 'ranking', machines: 13 },
+];
+const LARGE = new Map(LARGE_MACHINES.map(({ service, machines }) => [service, machines]));
+const SUBSET = 8;
+const LARGE_CALLS = 400;
+
+/** The services of the machines that have one gate of `gates` in their subsets, one entry a machine. */
+function drawCallers(random: SeededRandom, gates: number): string[] {
+  return LARGE_MACHINES.flatMap(({ service, machines }) =>
+    Array.from({ length: machines }, () => service).filter(() => random.next() < SUBSET / gates),
+  );
+}
+
+/**
+ * Symptom: 8 of 95 gates never limited the requests of a kind that clients send, and let them wait as long as calls of
+ * targets may. Sequence: of 195 machines each calls 8 of 95 gates, so a gate has some sixteen callers; at 6% of the gates
+ * none of them is on a machine of the two small services. Cause: after 84 calls from these few machines their absence
+ * counted as certain, as if each call came from a machine of its own.
+ */
+describe('the origins of calls at one gate of many', () => {
+  it('are not mistaken, though few machines call there', () => {
+    let mistaken = 0;
+    for (let seed = 1; seed <= DRAWN_GATES; seed += 1) {
+      const random = new SeededRandom(seed);
+      const callers = drawCallers(random, 95);
+      const tracker = new OriginTracker(
+        () => LARGE,
+        () => SUBSET / 95,
+      );
+      for (let call = 0; call < LARGE_CALLS; call += 1) {
+        tracker.onCall('search', callers[random.below(callers.length)]!);
+      }
+      if (tracker.isNested('search')) mistaken += 1;
+    }
+    expect(mistaken).to.equal(0);
+  });
+
+  it('still tell the calls of targets', () => {
+    const tracker = new OriginTracker(
+      () => LARGE,
+      () => SUBSET / 68,
+    );
+    calls(tracker, 'provenance', ['search'], 60);
+    expect(tracker.isNested('provenance')).to.equal(true);
+  });
+});
+
+describe('the presumed origins of calls', () => {
+  it('are targets after the first calls, all from one service', () => {
+    const tracker = new OriginTracker(
+      () => LARGE,
+      () => SUBSET / 68,
+    );
+    calls(tracker, 'provenance', ['search'], 6);
+    expect(tracker.isPresumedNested('provenance')).to.equal(true);
+    expect(tracker.isNested('provenance')).to.equal(false);
+  });
+
+  it('are clients as soon as calls come from most services', () => {
+    const tracker = new OriginTracker(
+      () => LARGE,
+      () => SUBSET / 68,
+    );
+    calls(tracker, 'register', ['search'], 6);
+    calls(tracker, 'register', ['registry', 'bundles'], 2);
+    expect(tracker.isPresumedNested('register')).to.equal(false);
+  });
+});
