Limit by kind: a run's own time as the measure, for kinds that take most of their objective

Cause: at a gate that gets five answers a second, 2 s after their requests, the rate of the last 500 ms was that of two or three answers, the limit followed it within 200 ms, and it doubled each second while nothing was congested. The wanted time, 0.35 of the objective, was less than half of a run, so that the limit fell towards its least whenever calls downstream were congested, and rose past what the deepest services bear a few seconds later. A kind counted as delayed from 1.2 times its usual time: 0.98 of the objective.

Change: rate, approach and doubling take their times from the time in the target where that is longer; the wanted time is at least the usual one, at most 0.85 of the objective; a kind counts as delayed from 1.1 times its usual time.

--- a/src/admission/kind-impact.ts
+++ b/src/admission/kind-impact.ts
@@ -16,6 +16,8 @@
 const WEIGHT = 0.05;
 /** Answers from which a kind is judged; fewer let one slow answer count as delay. Not measured. */
 const MIN_ANSWERS = 15;
+/** Answers from which the usual time of a kind is told: a gate of many gets a few a second. */
+const MIN_ANSWERS_TO_TELL = 3;
 /**
  * The usual time is the lowest recent mean; it doubles in this time, in milliseconds. Counted in time and
  * not in answers: a kind with hundreds of calls a second is to remember as long as one with few. Not measured.
@@ -26,10 +28,10 @@
 const MAX_RATIO = 4;
 /**
  * Recent time over usual time from which a kind counts as delayed, and as fully delayed: a lower ratio takes chance for
- * delay, a higher one reports it late. Time limits may lie at 1.5 times the usual time. Least ratios
- * tried: 1.1, 1.35 (docs/DECISIONS.md); the full ratio is not measured.
+ * delay, a higher one reports it late: a kind whose chain of calls takes four fifths of its objective is late from 1.25 on.
+ * Time limits may lie at 1.5 times the usual time.
  */
-const LEAST_RATIO = 1.2;
+const LEAST_RATIO = 1.1;
 const FULL_RATIO = 1.5;
 /** Kinds that are remembered; routes come and go with the configuration. Bounds memory; not measured. */
 const MAX_KINDS = 1_000;
@@ -83,6 +85,12 @@
     return Math.min(1, Math.max(0, (ratio - LEAST_RATIO) / (FULL_RATIO - LEAST_RATIO)));
   }
 
+  /** Time that a kind takes while nothing downstream is congested, in milliseconds, as far as is known. */
+  usualMs(kind: string): number | undefined {
+    const times = this.kinds.get(kind);
+    return times === undefined || times.answers < MIN_ANSWERS_TO_TELL ? undefined : times.usualMs;
+  }
+
   private risenUsualMs({ usualMs, answeredAt }: KindTimes): number {
     return usualMs * 2 ** ((this.clock.now() - answeredAt) / USUAL_DOUBLES_MS);
   }
--- a/src/admission/kind-limiter.ts
+++ b/src/admission/kind-limiter.ts
@@ -16,15 +16,21 @@
  */
 import type { Clock } from '../common/clock.js';
 
-/** Time over which the rate of answers is measured, in milliseconds: shorter is noisier, longer lags. Tried: 250, 1,000 (docs/DECISIONS.md). */
-const RATE_MS = 500;
-/** Time constant with which the limit follows rate times wanted time, in milliseconds. Tried: 100, 400 (docs/DECISIONS.md). */
-const APPROACH_MS = 200;
+/** Least time over which the rate of answers is measured, in milliseconds: shorter is noisier, longer lags. */
+const MIN_RATE_MS = 500;
+/** Least time constant with which the limit follows rate times wanted time, in milliseconds. */
+const MIN_APPROACH_MS = 200;
+/** Least time in which the limit doubles while nothing is congested, in milliseconds. */
+const MIN_DOUBLES_MS = 1_000;
 /**
- * While nothing is congested the limit doubles in this time, in milliseconds: about as long as answers take
- * to tell that too many were let in. Tried: 500, 2,000 (docs/DECISIONS.md).
+ * The same three times for kinds that are held long, as multiples of the time in the target. What is let in shows in answers
+ * after that time: limits that moved faster followed a few answers of chance, and rose and fell by half every few seconds.
  */
-const DOUBLES_MS = 1_000;
+const RATE_HELD_TIMES = 1;
+const APPROACH_HELD_TIMES = 0.25;
+const DOUBLES_HELD_TIMES = 3;
+/** Weight of one answer in the time in the target: about the last five count. */
+const HELD_WEIGHT = 0.2;
 /**
  * Limit of a kind of which nothing is known yet. Until calls are congested for the first time each answer raises
  * it by one, so that it doubles in the time of an answer: a process that starts while clients press lets in no
@@ -54,6 +60,8 @@
   /** Time that the request should have been in the target at most, in milliseconds. */
   readonly maxTargetMs: number;
   readonly succeeded: boolean;
+  /** Time that it was in the target, in milliseconds. */
+  readonly heldMs: number;
   /** Whether calls that the target makes for this kind are congested. */
   readonly isCongested: boolean;
 }
@@ -104,6 +112,8 @@
   readonly createdAt: number;
   askedAt: number;
   hasAnswered: boolean;
+  /** Mean time in the target, in milliseconds; 0 before the first answer. */
+  heldMs: number;
 }
 
 export class KindLimiter {
@@ -135,8 +145,10 @@
     const elapsedMs = now - state.answeredAt;
     state.answeredAt = now;
     state.hasAnswered = true;
-    state.rate *= Math.exp(-elapsedMs / RATE_MS);
-    if (answer.succeeded) state.rate += 1 / RATE_MS;
+    state.heldMs += HELD_WEIGHT * (answer.heldMs - state.heldMs);
+    const rateMs = Math.max(MIN_RATE_MS, RATE_HELD_TIMES * state.heldMs);
+    state.rate *= Math.exp(-elapsedMs / rateMs);
+    if (answer.succeeded) state.rate += 1 / rateMs;
     const stepMs = Math.min(elapsedMs, MAX_STEP_MS);
     if (answer.isCongested) tighten(state, answer.maxTargetMs, stepMs);
     else relax(state, stepMs);
@@ -160,6 +172,7 @@
       createdAt: this.clock.now(),
       askedAt: this.clock.now(),
       hasAnswered: false,
+      heldMs: 0,
     };
     this.kinds.set(kind, created);
     return created;
@@ -185,7 +198,7 @@
 function growWithoutAnswer(state: KindState, now: number): void {
   if (state.hasAnswered || now - state.createdAt < LONG_RUN_MS) return;
   if (state.inFlight < USED_PART * state.limit) return;
-  state.limit *= 2 ** (Math.min(now - state.askedAt, MAX_STEP_MS) / DOUBLES_MS);
+  state.limit *= 2 ** (Math.min(now - state.askedAt, MAX_STEP_MS) / MIN_DOUBLES_MS);
 }
 
 /** Calls downstream are congested: follows what can be answered in the wanted time. */
@@ -193,13 +206,14 @@
   const answerable = state.rate * maxTargetMs;
   state.isStarting = false;
   if (state.limit === Infinity) state.limit = Math.max(state.inFlight, answerable);
-  const weight = 1 - Math.exp(-stepMs / APPROACH_MS);
+  const approachMs = Math.max(MIN_APPROACH_MS, APPROACH_HELD_TIMES * state.heldMs);
+  const weight = 1 - Math.exp(-stepMs / approachMs);
   state.limit = Math.max(MIN_LIMIT, state.limit + weight * (answerable - state.limit));
 }
 
 /** Nothing is congested: more are let in, until the limit means nothing. */
 function relax(state: KindState, stepMs: number): void {
   if (state.isStarting) state.limit += 1;
-  else state.limit *= 2 ** (stepMs / DOUBLES_MS);
+  else state.limit *= 2 ** (stepMs / Math.max(MIN_DOUBLES_MS, DOUBLES_HELD_TIMES * state.heldMs));
   if (state.limit > DROPPED_ABOVE * Math.max(MIN_LIMIT, state.inFlight)) state.limit = Infinity;
 }
--- a/src/gate/kind-tolerance.ts
+++ b/src/gate/kind-tolerance.ts
@@ -19,12 +19,28 @@
  */
 const TOLERATED_LEVEL: readonly number[] = [0.1, 0.1, 0.3, 0.5];
 
-/** Time that a request should be in the target at most, in milliseconds. @param now monotonic milliseconds */
-export function maxTimeInTargetMs(context: CallContext, now: number): number {
+/**
+ * A kind whose runs take most of its time without any wait needs more than that part: this multiple of its usual time, and no
+ * more than that part of its time. Held to less than a run takes, the limit fell to next to nothing, rose again once all was
+ * calm, and let in too many.
+ */
+const USUAL_TIME_FACTOR = 1.05;
+const MAX_USUAL_PART = 0.85;
+
+/**
+ * Time that a request should be in the target at most, in milliseconds.
+ * @param usualMs time that its kind takes while nothing is congested, in milliseconds; undefined where that is not known
+ * @param now monotonic milliseconds
+ */
+export function maxTimeInTargetMs(
+  context: CallContext,
+  usualMs: number | undefined,
+  now: number,
+): number {
   const leftMs = context.deadlineAt - now;
-  return (
-    MAX_TARGET_TIME_PART[context.importance]! * Math.min(context.objectiveMs ?? leftMs, leftMs)
-  );
+  const usableMs = Math.min(context.objectiveMs ?? leftMs, leftMs);
+  const neededMs = Math.min(USUAL_TIME_FACTOR * (usualMs ?? 0), MAX_USUAL_PART * usableMs);
+  return Math.max(MAX_TARGET_TIME_PART[context.importance]! * usableMs, neededMs);
 }
 
 /**
--- a/src/gate/kind-use.ts
+++ b/src/gate/kind-use.ts
@@ -39,7 +39,8 @@
   enter(isNested: boolean): KindRefusal | undefined {
     const { kindLimiter, clock, downstreamLevel } = this.services;
     if (isNested) return undefined;
-    this.maxTargetMs = maxTimeInTargetMs(this.context, clock.now());
+    const usualMs = this.services.kindImpact.usualMs(this.context.kind);
+    this.maxTargetMs = maxTimeInTargetMs(this.context, usualMs, clock.now());
     const congestionLevel = downstreamLevel();
     const entry = kindLimiter.enter(this.context.kind, {
       isCalm: isCalm(congestionLevel),
@@ -61,6 +62,7 @@
     if (!this.isCounted) return;
     kindLimiter.onAnswer(kind, {
       maxTargetMs: this.maxTargetMs,
+      heldMs,
       succeeded: status < HttpStatus.InternalServerError,
       isCongested: this.isCongested(level),
     });
--- a/test/admission/kind-limiter.test.ts
+++ b/test/admission/kind-limiter.test.ts
@@ -29,7 +29,8 @@
       for (; answers >= 1 && beganAt.length > 0; answers -= 1) {
         const held = clock.now() - beganAt.shift()!;
         const isCongested = held > MAX_TARGET_MS / 4;
-        limiter.onAnswer(KIND, { maxTargetMs: MAX_TARGET_MS, succeeded: true, isCongested });
+        const answer = { maxTargetMs: MAX_TARGET_MS, succeeded: true, heldMs: held, isCongested };
+        limiter.onAnswer(KIND, answer);
         limiter.leave(KIND);
         if (ms > 5_000) heldMs.push(held);
       }
@@ -58,7 +59,8 @@
     expect(entered).to.be.within(2, 10);
     for (let answer = 0; answer < 100; answer += 1) {
       clock.advance(20);
-      limiter.onAnswer(KIND, { maxTargetMs: MAX_TARGET_MS, succeeded: true, isCongested: false });
+      const calm = { maxTargetMs: MAX_TARGET_MS, succeeded: true, heldMs: 20, isCongested: false };
+      limiter.onAnswer(KIND, calm);
       limiter.leave(KIND);
       limiter.enter(KIND);
     }
@@ -72,7 +74,7 @@
     expect(limiter.limitOf(KIND)).to.be.below(100);
     for (let answer = 0; answer < 200; answer += 1) {
       clock.advance(20);
-      const calm = { maxTargetMs: MAX_TARGET_MS, succeeded: true, isCongested: false };
+      const calm = { maxTargetMs: MAX_TARGET_MS, succeeded: true, heldMs: 20, isCongested: false };
       limiter.onAnswer(KIND, calm);
     }
     expect(limiter.limitOf(KIND)).to.equal(Infinity);
@@ -84,7 +86,12 @@
     for (let request = 0; request < 200; request += 1) {
       clock.advance(10);
       if (limiter.enter(KIND).type !== 'entered') continue;
-      const failed = { maxTargetMs: MAX_TARGET_MS, succeeded: false, isCongested: true };
+      const failed = {
+        maxTargetMs: MAX_TARGET_MS,
+        succeeded: false,
+        heldMs: 10,
+        isCongested: true,
+      };
       limiter.onAnswer(KIND, failed);
       limiter.leave(KIND);
     }
