--- a/src/routing/target-choice.ts
+++ b/src/routing/target-choice.ts
@@ -72,6 +72,7 @@
   latencyRatio(now: number): number;
   /** Expected cost of one more call; only comparisons mean anything. */
   cost(scale: ChoiceScale): number;
+  expectedTime(scale: ChoiceScale): number;
 }
 
 /** What a choice is made from. */
@@ -88,9 +89,9 @@
 ): T | undefined {
   const usable = withoutEjected(candidates, scale.now);
   const local = usable.filter(({ zone }) => zone === callerZone);
-  const nearby = cheapestOf(LOCAL_CHOICES, local, scale, random);
+  const nearby = cheapestOf(LOCAL_CHOICES, local, (each) => each.expectedTime(scale), random);
   if (nearby !== undefined && hasRoom(nearby, scale) && !isSlow(nearby, scale)) return nearby;
-  const best = cheapestOf(SPILL_CHOICES, usable, scale, random);
+  const best = cheapestOf(SPILL_CHOICES, usable, (each) => each.cost(scale), random);
   if (nearby === undefined || best === undefined) return best;
   const isWorthCrossing = nearby.cost(scale) > CROSSING_COST_RATIO * best.cost(scale);
   return isWorthCrossing ? best : nearby;
@@ -120,7 +121,7 @@
 function cheapestOf<T extends Candidate>(
   count: number,
   pool: readonly T[],
-  scale: ChoiceScale,
+  costOf: (candidate: T) => number,
   random: RandomSource,
 ): T | undefined {
   const left = [...pool];
@@ -131,7 +132,7 @@
     const candidate = left[index]!;
     left[index] = left[left.length - 1]!;
     left.pop();
-    const cost = candidate.cost(scale);
+    const cost = costOf(candidate);
     if (cost < leastCost) {
       cheapest = candidate;
       leastCost = cost;
