--- a/src/routing/target-choice.ts
+++ b/src/routing/target-choice.ts
@@ -72,7 +72,6 @@
   latencyRatio(now: number): number;
   /** Expected cost of one more call; only comparisons mean anything. */
   cost(scale: ChoiceScale): number;
-  expectedTime(scale: ChoiceScale): number;
 }
 
 /** What a choice is made from. */
@@ -89,9 +88,9 @@
 ): T | undefined {
   const usable = withoutEjected(candidates, scale.now);
   const local = usable.filter(({ zone }) => zone === callerZone);
-  const nearby = cheapestOf(LOCAL_CHOICES, local, (each) => each.expectedTime(scale), random);
+  const nearby = cheapestOf(LOCAL_CHOICES, local, scale, random);
   if (nearby !== undefined && hasRoom(nearby, scale) && !isSlow(nearby, scale)) return nearby;
-  const best = cheapestOf(SPILL_CHOICES, usable, (each) => each.cost(scale), random);
+  const best = cheapestOf(SPILL_CHOICES, usable, scale, random);
   if (nearby === undefined || best === undefined) return best;
   const isWorthCrossing = nearby.cost(scale) > CROSSING_COST_RATIO * best.cost(scale);
   return isWorthCrossing ? best : nearby;
@@ -121,7 +120,7 @@
 function cheapestOf<T extends Candidate>(
   count: number,
   pool: readonly T[],
-  costOf: (candidate: T) => number,
+  scale: ChoiceScale,
   random: RandomSource,
 ): T | undefined {
   const left = [...pool];
@@ -132,7 +131,7 @@
     const candidate = left[index]!;
     left[index] = left[left.length - 1]!;
     left.pop();
-    const cost = costOf(candidate);
+    const cost = candidate.cost(scale);
     if (cost < leastCost) {
       cheapest = candidate;
       leastCost = cost;
