Slow targets: gates refuse what they can't answer, and calls given up tell how slow an endpoint is

Change: a gate refuses a kind at once, as unavailable and not run, while none of its latest runs was answered, but for one at a time; a caller counts a call that was given up with the time that it waited, and a refusal as unavailable as very slow. A target's 504 counts as given up.

--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -7,6 +7,7 @@
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { KindImpact } from '../../../src/admission/kind-impact.js';
 import { KindLimiter } from '../../../src/admission/kind-limiter.js';
+import { RunOutcomes } from '../../../src/admission/run-outcomes.js';
 import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
 import { GateCallRules } from '../../../src/gate/gate-call-rules.js';
 import {
@@ -81,6 +82,7 @@
 
 export class SimSidecar {
   readonly record: EndpointRecord;
+  private readonly index: number;
   private readonly limiter = new SlotLimiter(SLOT_FRACTION);
   private readonly origins: OriginTracker;
   private readonly downstream: CongestionLevel;
@@ -96,11 +98,13 @@
   constructor(
     private readonly world: SidecarNeighbours,
     readonly service: SimService,
-    { index, zone }: SimPlace,
+    place: SimPlace,
     private readonly workFactor: number,
   ) {
     const { clock, random } = world;
-    const id = `${service.name}-${index}`;
+    const { zone } = place;
+    this.index = place.index;
+    const id = `${service.name}-${place.index}`;
     this.record = {
       id,
       incarnation: 1,
@@ -238,6 +242,7 @@
       downstreamLevel: () => this.downstream.current(),
       kindImpact: new KindImpact(clock),
       kindLimiter: new KindLimiter(clock),
+      runOutcomes: new RunOutcomes(),
       retryBudget: this.retryBudget,
       repeatedRuns: this.repeatedRuns,
       // Targets here neither move nor crash.
@@ -282,7 +287,7 @@
           clock,
           random,
           route,
-          this.workFactor,
+          this.workFactor * this.slowFactor(),
           deadlineAt - clock.now(),
           (name, deadlineMs, nestedDone) =>
             this.ingress(
@@ -300,6 +305,11 @@
     );
   }
 
+  private slowFactor(): number {
+    const { slowPart = 0, slowFactor = 1 } = this.world.targetFaults(this.service.name);
+    return this.index < slowPart * this.service.targets ? slowFactor : 1;
+  }
+
   /** @returns whether the arrival is a repeat */
   private countArrival(lineage: RequestLineage): boolean {
     const isRepeat = lineage.arrive();
--- a/lab/simulator/sidecars/sim-target-transport.ts
+++ b/lab/simulator/sidecars/sim-target-transport.ts
@@ -10,6 +10,10 @@
   readonly rejectedPart: number;
   /** Part of the answers that are lost after the call has run, 0 to 1. */
   readonly lostPart: number;
+  /** Part of the targets, the first of the service, whose work takes a multiple of its usual time, 0 to 1. Default 0. */
+  readonly slowPart?: number;
+  /** That multiple. Default 1. */
+  readonly slowFactor?: number;
 }
 
 export const NO_TARGET_FAULTS: TargetFaults = { rejectedPart: 0, lostPart: 0 };
--- a/src/gate/call-entry.ts
+++ b/src/gate/call-entry.ts
@@ -7,11 +7,12 @@
  * service that was meant, and whether the request is in quarantine. Then, here:
  *
  * 1. Leaving, first: a process that stops must not begin what it can't finish.
- * 2. Limit by kind, before the queue: what it keeps out is to go elsewhere at once and not to wait first.
- * 3. Retry budget, after the rules that set nothing aside: a repeat that it lets in counts until it arrives or ends.
- * 4. Admission: a slot of the target, at once or after a wait. The call holds a permit from here on, and its deadline is
+ * 2. Slow target: a call that the target can't be expected to answer is to go elsewhere at once.
+ * 3. Limit by kind, before the queue: what it keeps out is to go elsewhere at once and not to wait first.
+ * 4. Retry budget, after the rules that set nothing aside: a repeat that it lets in counts until it arrives or ends.
+ * 5. Admission: a slot of the target, at once or after a wait. The call holds a permit from here on, and its deadline is
  *    watched.
- * 5. Claim of the idempotency key, last: a claimed key says that its call may have run, so only a call that is about to be
+ * 6. Claim of the idempotency key, last: a claimed key says that its call may have run, so only a call that is about to be
  *    sent claims one.
  */
 import type {
@@ -29,6 +30,7 @@
   leavingRefusal,
   notAdmittedRefusal,
   retryBudgetRefusal,
+  slowTargetRefusal,
   type GateRefusal,
 } from './gate-refusals.js';
 import type { InboundServices } from './inbound-services.js';
@@ -77,7 +79,8 @@
 
   /** Asks the rules in their order. */
   start(): void {
-    const refusal = this.askLeaving() ?? this.askKindLimit() ?? this.askRetryBudget();
+    const refusal =
+      this.askLeaving() ?? this.askSlowTarget() ?? this.askKindLimit() ?? this.askRetryBudget();
     if (refusal === undefined) this.askAdmission();
     else this.listener.onRefused(refusal);
   }
@@ -104,6 +107,10 @@
     return this.services.isLeaving(this.context.kind) ? leavingRefusal() : undefined;
   }
 
+  private askSlowTarget(): GateRefusal | undefined {
+    return this.rules.mayBeAnswered() ? undefined : slowTargetRefusal();
+  }
+
   private askKindLimit(): GateRefusal | undefined {
     const reached = this.rules.enterKind();
     return reached === undefined ? undefined : kindLimitRefusal(reached);
--- a/src/gate/call-rules.ts
+++ b/src/gate/call-rules.ts
@@ -12,6 +12,8 @@
   readonly isNested: boolean;
   /** Which repeats the retry budget of the target's service would let through now. */
   readonly repeatRoom: RepeatRoom;
+  /** Whether the target can be expected to answer the call. */
+  mayBeAnswered(): boolean;
   /** Asks the limit of the call's kind, and counts the call as under way; says why not where it is refused. */
   enterKind(): KindRefusal | undefined;
   /** Asks the retry budget; false where the call is a repeat that it has no room for. */
@@ -42,6 +44,7 @@
 export const NODE_CALL_RULES: CallRules = {
   isNested: false,
   repeatRoom: RepeatRoom.Runs,
+  mayBeAnswered: () => true,
   enterKind: () => undefined,
   enterRepeat: () => true,
   onAdmitted: () => false,
--- a/src/gate/gate-call-rules.ts
+++ b/src/gate/gate-call-rules.ts
@@ -3,6 +3,8 @@
  * the congestion that it reports. Owns what the call counts towards each; relies on the parts that all calls share.
  */
 import type { CongestionLevel } from '../admission/congestion-level.js';
+import { RunResult } from '../admission/run-outcomes.js';
+import { HttpStatus } from '../common/http-status.js';
 import type { CallContext } from '../call/call-context.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import type { RepeatRoom } from '../retry/repeat-room.js';
@@ -29,6 +31,8 @@
 export class GateCallRules implements CallRules {
   private readonly kindUse: KindUse;
   private readonly repeatUse: RepeatUse;
+  /** When the call was sent to the target, in monotonic milliseconds; undefined while it is not there. */
+  private arrivedAt: number | undefined;
 
   constructor(
     private readonly services: GateServices,
@@ -47,6 +51,10 @@
     return this.repeatUse.room;
   }
 
+  mayBeAnswered(): boolean {
+    return this.services.runOutcomes.mayBeAnswered(this.context.kind);
+  }
+
   enterKind(): KindRefusal | undefined {
     return this.kindUse.enter(this.options.isPresumedNested ?? this.isNested);
   }
@@ -67,11 +75,14 @@
 
   onArrival(): WatchedRun | undefined {
     this.repeatUse.onArrival();
+    this.arrivedAt = this.services.clock.now();
+    this.services.runOutcomes.onBegin(this.context.kind);
     return this.services.crashGuard.begin(this.context.fingerprint ?? '');
   }
 
   onAnswer(status: number, heldMs: number): void {
     this.kindUse.onAnswer(status, heldMs);
+    this.endRun(runResultOf(status));
   }
 
   onMisdirected(expectedIncarnation: string): void {
@@ -83,6 +94,7 @@
   }
 
   leave(): void {
+    this.endRun(RunResult.GivenUp);
     this.kindUse.leave();
     this.repeatUse.leave();
   }
@@ -92,7 +104,21 @@
     return reportedCongestion(this.services, this.context.kind, this.isNested, queueLevel);
   }
 
+  /** Tells once how the call has left the target. */
+  private endRun(result: RunResult): void {
+    if (this.arrivedAt === undefined) return;
+    const { runOutcomes, clock } = this.services;
+    runOutcomes.onEnd(this.context.kind, result, clock.now() - this.arrivedAt);
+    this.arrivedAt = undefined;
+  }
+
   private get queueLevel(): CongestionLevel {
     return this.services.queueLevels[this.context.importance]!;
   }
 }
+
+/** What the status of a target's answer says of its run: targets give up themselves at the deadline, and say so. */
+function runResultOf(status: number): RunResult {
+  if (status === HttpStatus.GatewayTimeout) return RunResult.GivenUp;
+  return status < HttpStatus.InternalServerError ? RunResult.Answered : RunResult.Failed;
+}
--- a/src/gate/gate-refusals.ts
+++ b/src/gate/gate-refusals.ts
@@ -28,6 +28,11 @@
   return refuse('leaving', 'not-run', 'The target is leaving.');
 }
 
+/** The target takes too long at present. */
+export function slowTargetRefusal(): GateRefusal {
+  return refuse('unavailable', 'not-run', 'The target takes too long now to answer in time.');
+}
+
 /** The limit by kind is reached. */
 export function kindLimitRefusal(reached: KindRefusal): GateRefusal {
   return overload(refuse('overload', 'not-run', kindRefusalDetail(reached)));
--- a/src/gate/inbound-services.ts
+++ b/src/gate/inbound-services.ts
@@ -4,6 +4,7 @@
  */
 import type { AdmissionController } from '../admission/admission-controller.js';
 import type { CongestionLevel } from '../admission/congestion-level.js';
+import type { RunOutcomes } from '../admission/run-outcomes.js';
 import type { Clock } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
 import type { KeyClaims } from '../dedup/claim.js';
@@ -41,6 +42,8 @@
    */
   readonly queueLevels: readonly CongestionLevel[];
   readonly crashGuard: GateCrashGuard;
+  /** Learns whether the target still answers. */
+  readonly runOutcomes: RunOutcomes;
 }
 
 /** How an inbound call ended. */
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -4,6 +4,7 @@
  */
 import { KindImpact } from '../admission/kind-impact.js';
 import { KindLimiter } from '../admission/kind-limiter.js';
+import { RunOutcomes } from '../admission/run-outcomes.js';
 import { CallDurations } from '../call/call-durations.js';
 import { gateTakes } from '../call/stop-policy.js';
 import { NO_CLAIMS } from '../dedup/no-claims.js';
@@ -28,6 +29,7 @@
       downstreamLevel: () => downstream.current(),
       kindImpact: new KindImpact(clock),
       kindLimiter: new KindLimiter(clock),
+      runOutcomes: new RunOutcomes(),
       retryBudget,
       repeatedRuns,
       crashGuard,
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -23,6 +23,11 @@
  */
 const LEAVING_MEMORY_MS = 60_000;
 
+/**
+ * Latency ratio that a refusal of a gate whose target is not available counts as: its calls are to go elsewhere for a while.
+ */
+const UNAVAILABLE_RATIO = 12;
+
 /** What a balancer is made of. */
 export interface BalancerOptions {
   readonly clock: Clock;
@@ -46,7 +51,7 @@
 }
 
 /** What an outcome tells of an endpoint. */
-type ReportedOutcome = Pick<Outcome, 'refusal' | 'load'>;
+type ReportedOutcome = Pick<Outcome, 'refusal' | 'load' | 'crashNote'>;
 
 /** The end of the attempt at a chosen endpoint. */
 interface PickEnd {
@@ -128,7 +133,12 @@
     const isTargetsAnswer = result === 'answered' && outcome?.refusal === undefined;
     if (isTargetsAnswer || result === 'hedged') {
       view.onLatency(this.baseline.learn(trafficClass, now - startedAt), now);
+      return;
     }
+    const leastRatio = isUnavailable(outcome)
+      ? UNAVAILABLE_RATIO
+      : this.baseline.ratioOf(trafficClass, now - startedAt);
+    if (leastRatio > view.latencyRatio(now)) view.onLatency(leastRatio, now);
   }
 
   private candidates(excluded: ReadonlySet<string>, now: number): EndpointView[] {
@@ -146,6 +156,11 @@
   }
 }
 
+/** Whether the gate has no target for calls now. What it says of one request that crashes targets is none of its others. */
+function isUnavailable(outcome: ReportedOutcome | undefined): boolean {
+  return outcome?.refusal === 'unavailable' && outcome.crashNote === undefined;
+}
+
 function leavingKey(record: EndpointRecord): string {
   return `${record.id}#${record.incarnation}`;
 }
--- a/src/routing/latency-baseline.ts
+++ b/src/routing/latency-baseline.ts
@@ -33,6 +33,12 @@
     return usual === undefined || usual.answers < MIN_ANSWERS ? undefined : usual.latencyMs;
   }
 
+  /** A latency as a multiple of the usual one of its class; 0 where that is not known. */
+  ratioOf(trafficClass: string, latencyMs: number): number {
+    const usual = this.usual.get(trafficClass);
+    return usual === undefined ? 0 : latencyMs / usual.latencyMs;
+  }
+
   /** Learns the latency of one answer. @returns the latency as a multiple of the usual one */
   learn(trafficClass: string, latencyMs: number): number {
     const latency = Math.max(MIN_LATENCY_MS, latencyMs);
--- /dev/null
+++ b/test/admission/run-outcomes.test.ts
@@ -0,0 +1,57 @@
+import { expect } from 'chai';
+import { RunOutcomes, RunResult } from '../../src/admission/run-outcomes.js';
+
+const KIND = 'lookup';
+const USUAL_MS = 140;
+const DEADLINE_MS = 700;
+
+/** Ends calls that have just begun. */
+function end(outcomes: RunOutcomes, count: number, result: RunResult, ranMs: number): void {
+  for (let call = 0; call < count; call += 1) {
+    outcomes.onBegin(KIND);
+    outcomes.onEnd(KIND, result, ranMs);
+  }
+}
+
+/** A target that has answered, with a call under way. */
+function wellTarget(): RunOutcomes {
+  const outcomes = new RunOutcomes();
+  end(outcomes, 10, RunResult.Answered, USUAL_MS);
+  outcomes.onBegin(KIND);
+  return outcomes;
+}
+
+describe('the outcomes of the latest runs at a target', () => {
+  it('let all calls in at first, and while some are answered', () => {
+    expect(new RunOutcomes().mayBeAnswered(KIND)).to.equal(true);
+    const outcomes = wellTarget();
+    for (let round = 0; round < 20; round += 1) {
+      end(outcomes, 3, RunResult.GivenUp, DEADLINE_MS);
+      end(outcomes, 1, RunResult.Answered, USUAL_MS);
+      expect(outcomes.mayBeAnswered(KIND)).to.equal(true);
+    }
+  });
+
+  it('let no more than one call in where none is answered any more', () => {
+    const outcomes = wellTarget();
+    end(outcomes, 8, RunResult.GivenUp, DEADLINE_MS);
+    expect(outcomes.mayBeAnswered(KIND)).to.equal(false);
+    expect(outcomes.mayBeAnswered('another')).to.equal(true);
+    outcomes.onEnd(KIND, RunResult.GivenUp, DEADLINE_MS);
+    expect(outcomes.mayBeAnswered(KIND)).to.equal(true);
+  });
+
+  it('let calls in again as soon as one is answered', () => {
+    const outcomes = wellTarget();
+    end(outcomes, 50, RunResult.GivenUp, DEADLINE_MS);
+    end(outcomes, 1, RunResult.Answered, USUAL_MS);
+    expect(outcomes.mayBeAnswered(KIND)).to.equal(true);
+  });
+
+  it('count neither calls that are given up before answers come, nor failures of the target', () => {
+    const outcomes = wellTarget();
+    end(outcomes, 50, RunResult.GivenUp, USUAL_MS / 2);
+    end(outcomes, 50, RunResult.Failed, DEADLINE_MS);
+    expect(outcomes.mayBeAnswered(KIND)).to.equal(true);
+  });
+});
--- a/test/gate/restart-with-long-runs.test.ts
+++ b/test/gate/restart-with-long-runs.test.ts
@@ -8,6 +8,7 @@
  */
 import { expect } from 'chai';
 import { KindImpact } from '../../src/admission/kind-impact.js';
+import { RunOutcomes } from '../../src/admission/run-outcomes.js';
 import { KindLimiter } from '../../src/admission/kind-limiter.js';
 import type { CallContext } from '../../src/call/call-context.js';
 import { KindUse } from '../../src/gate/kind-use.js';
@@ -25,6 +26,7 @@
     const services = {
       clock,
       kindLimiter: new KindLimiter(clock),
+      runOutcomes: new RunOutcomes(),
       kindImpact: new KindImpact(clock),
       downstreamLevel: () => 0,
     };
