--- a/src/admission/congestion-level.ts
+++ b/src/admission/congestion-level.ts
@@ -6,13 +6,13 @@
  */
 import type { Clock } from '../common/clock.js';
 
-/** Least weight of one call in the average: it follows some twenty calls. Not measured. */
+/** Least weight of one call in the average: it follows some twenty calls. */
 const CALL_WEIGHT = 0.05;
-/** Where calls are rare each stands for the time since the one before, against this, in milliseconds. Not measured. */
+/** Where calls are rare each stands for the time since the one before, against this, in milliseconds. */
 const AVERAGE_MS = 400;
-/** Without calls for this long, what was learned fades, in milliseconds. Not measured. */
+/** Without calls for this long, what was learned fades, in milliseconds. */
 const SILENCE_MS = 300;
-/** Time constant of fading, in milliseconds: callers try again within a second or two. Not measured. */
+/** Time constant of fading, in milliseconds: callers try again within a second or two. */
 const MEMORY_MS = 1_000;
 
 export class CongestionLevel {
--- a/src/admission/held-times.ts
+++ b/src/admission/held-times.ts
@@ -4,9 +4,9 @@
  */
 import { BoundedMap } from '../common/bounded-map.js';
 
-/** Weight of one call in a mean: it follows some twenty calls. Not measured. */
+/** Weight of one call in a mean: it follows some twenty calls. */
 const WEIGHT = 0.05;
-/** Kinds that are remembered; routes come and go with the configuration. Bounds memory; not measured. */
+/** Kinds that are remembered; routes come and go with the configuration. Bounds memory. */
 const MAX_KINDS = 1_000;
 
 export class HeldTimes {
--- a/src/admission/kind-impact.ts
+++ b/src/admission/kind-impact.ts
@@ -12,18 +12,18 @@
 import type { Clock } from '../common/clock.js';
 import { HttpStatus } from '../common/http-status.js';
 
-/** Weight of one answer in the recent mean: it follows some twenty answers. Not measured. */
+/** Weight of one answer in the recent mean: it follows some twenty answers. */
 const WEIGHT = 0.05;
-/** Answers from which a kind is judged; fewer let one slow answer count as delay. Not measured. */
+/** Answers from which a kind is judged; fewer let one slow answer count as delay. */
 const MIN_ANSWERS = 15;
 /** Answers from which the usual time of a kind is told: a gate of many gets a few a second. */
 const MIN_ANSWERS_TO_TELL = 3;
 /**
  * The usual time is the lowest recent mean; it doubles in this time, in milliseconds. Counted in time and
- * not in answers: a kind with hundreds of calls a second is to remember as long as one with few. Not measured.
+ * not in answers: a kind with hundreds of calls a second is to remember as long as one with few.
  */
 const USUAL_DOUBLES_MS = 30_000;
-/** A failed answer counts as at least this multiple of the usual time, any answer as no more than that. Not measured. */
+/** A failed answer counts as at least this multiple of the usual time, any answer as no more than that. */
 const FAILED_RATIO = 2.5;
 const MAX_RATIO = 4;
 /**
@@ -33,9 +33,9 @@
  */
 const LEAST_RATIO = 1.1;
 const FULL_RATIO = 1.5;
-/** Kinds that are remembered; routes come and go with the configuration. Bounds memory; not measured. */
+/** Kinds that are remembered; routes come and go with the configuration. Bounds memory. */
 const MAX_KINDS = 1_000;
-/** Part of the downstream calls up to which they count as not congested: chance waits. Not measured. */
+/** Part of the downstream calls up to which they count as not congested: chance waits. */
 const CALM_LEVEL = 0.05;
 
 /** Whether calls downstream are congested so little that answers tell the usual time of their kinds. */
--- a/src/admission/kind-limiter.ts
+++ b/src/admission/kind-limiter.ts
@@ -34,30 +34,29 @@
 /**
  * Limit of a kind of which nothing is known yet. Until calls are congested for the first time each answer raises
  * it by one, so that it doubles in the time of an answer: a process that starts while clients press lets in no
- * more than it has seen answered. With a small first limit that grows slowly 0.94 of the urgent kind's worth was earned
- * in seconds 1 to 5 of a start under overload, 0.21 before (simulated; docs/rounds/order-mesh.md). Tried: 2, 12, 24
- * (docs/DECISIONS.md): more lets in more of all kinds at a start, and less of the urgent one is in time.
+ * more than it has seen answered. A higher one lets in more of all kinds at a start, and less of the urgent one is in time
+ * (docs/DECISIONS.md).
  */
 const INITIAL_LIMIT = 6;
-/** An answer stands for the time since the one before, but no longer than this, in milliseconds. Not measured. */
+/** An answer stands for the time since the one before, but no longer than this, in milliseconds. */
 const MAX_STEP_MS = 500;
 /**
  * Part of a limit that is open to requests which can't be answered within their objective any more. Clients that were refused
  * come back while others come for the first time: all let in alike, half of what was answered was late.
  */
 const OPEN_TO_LATE_PART = 0.5;
-/** Requests of a kind that are let in however long they take: without any, nothing would be learned. Not measured. */
+/** Requests of a kind that are let in however long they take: without any, nothing would be learned. */
 const MIN_LIMIT = 2;
 /**
  * Runs that last longer than this tell something before they are answered, in milliseconds. Shorter ones are answered as
  * soon; let in on their time alone, 0.71 of the urgent kind was in time after a start under pressure, in the simulation.
  */
 const LONG_RUN_MS = 1_000;
-/** Part of the first limit that is in use where it proves too small. Not measured. */
+/** Part of the first limit that is in use where it proves too small. */
 const USED_PART = 0.5;
-/** A limit this many times above what is under way, while nothing is congested, is dropped. Not measured. */
+/** A limit this many times above what is under way, while nothing is congested, is dropped. */
 const DROPPED_ABOVE = 4;
-/** Kinds that are remembered; routes come and go with the configuration. Bounds memory; not measured. */
+/** Kinds that are remembered; routes come and go with the configuration. Bounds memory. */
 const MAX_KINDS = 1_000;
 
 /** How a target answered a request. */
--- a/src/admission/offered-pressure.ts
+++ b/src/admission/offered-pressure.ts
@@ -3,7 +3,7 @@
  * `call/retry-after.ts` when a call that was not let in may come again.
  */
 
-/** Time constant with which the counts fade, in milliseconds. Not measured. */
+/** Time constant with which the counts fade, in milliseconds. */
 const MEMORY_MS = 1_000;
 
 export class OfferedPressure {
--- a/src/admission/overload-throttle.ts
+++ b/src/admission/overload-throttle.ts
@@ -26,12 +26,11 @@
 
 /**
  * Factor for each refusal, and time in which the fraction doubles, in milliseconds. With both, idle callees were filled
- * again within 0.6 s; counting accepted calls took 4.6 to 5.1 s (simulated; docs/design/admission.md). Other values of
- * the two are not measured.
+ * again within 0.6 s; counting accepted calls took 4.6 to 5.1 s (simulated; docs/design/admission.md).
  */
 const DEFAULT_SHRINK = 0.9;
 const DEFAULT_DOUBLING_MS = 250;
-/** The fraction never falls below this, so that answers still tell when there is room again. Not measured. */
+/** The fraction never falls below this, so that answers still tell when there is room again. */
 const MIN_FRACTION = 0.02;
 
 /** The fraction sent of one traffic class as of its last refusal. */
--- a/src/admission/queue-wait.ts
+++ b/src/admission/queue-wait.ts
@@ -34,7 +34,7 @@
  */
 const WAIT_FACTORS: readonly number[] = [1, 1, 2, 2];
 const LONGEST_WAIT_FACTOR = Math.max(...WAIT_FACTORS);
-/** Calls that may wait however long calls take: a queue of none would refuse chance bursts. Not measured. */
+/** Calls that may wait however long calls take: a queue of none would refuse chance bursts. */
 const MIN_QUEUE_CAPACITY = 2;
 /** Stands for the time in the target before a first answer, and the least that is reckoned with, in milliseconds. */
 const UNKNOWN_HELD_MS = 1;
--- a/src/admission/share-class-usage.ts
+++ b/src/admission/share-class-usage.ts
@@ -1,6 +1,6 @@
 /** A share class's recent use of a target: its calls inside the target, averaged over about a second. */
 
-/** Time constant of the average, in milliseconds: how long a class that was short of its share may catch up. Not measured. */
+/** Time constant of the average, in milliseconds: how long a class that was short of its share may catch up. */
 const AVERAGING_MS = 1_000;
 
 export class ShareClassUsage {
--- a/src/call/call-context.ts
+++ b/src/call/call-context.ts
@@ -87,7 +87,7 @@
 /** Response header to callers: the request id, for logs and support. */
 export const REQUEST_ID_HEADER = 'shoredoor-request-id';
 
-/** Fields of a header that are read; this version writes seven at most. Bounds the work on a foreign one. Not measured. */
+/** Fields of a header that are read; this version writes seven at most. Bounds the work on a foreign one. */
 const MAX_FIELD_COUNT = 12;
 /** Names of groups, kinds and services that a header can hold. */
 const NAME_SYNTAX = /^[A-Za-z0-9][\w.-]{0,199}$/;
--- a/src/call/call-durations.ts
+++ b/src/call/call-durations.ts
@@ -6,9 +6,9 @@
  */
 import { BoundedMap } from '../common/bounded-map.js';
 
-/** Calls of a kind that are remembered: enough for a 0.95 quantile, few enough to follow a change. Not measured. */
+/** Calls of a kind that are remembered: enough for a 0.95 quantile, few enough to follow a change. */
 const REMEMBERED = 64;
-/** Kinds that are remembered, to bound memory: routes come and go with the configuration. Beyond it all are forgotten. Not measured. */
+/** Kinds that are remembered, to bound memory: routes come and go with the configuration. Beyond it all are forgotten. */
 const MAX_KINDS = 500;
 
 /** The latest durations of one kind, the oldest overwritten first. */
--- a/src/call/call-stats.ts
+++ b/src/call/call-stats.ts
@@ -31,7 +31,7 @@
   }
 }
 
-/** Most kinds that are counted separately, to bound memory and the size of a scrape; the rest share one entry. Not measured. */
+/** Most kinds that are counted separately, to bound memory and the size of a scrape; the rest share one entry. */
 const MAX_KINDS = 1_000;
 const OTHER_KIND = 'other';
 
--- a/src/call/request-journal.ts
+++ b/src/call/request-journal.ts
@@ -11,7 +11,7 @@
 import type { CallContext } from './call-context.js';
 import type { Refusal } from './refusal.js';
 
-/** Lines of one process in one second: logging must not slow down the refusals of an overload. Not measured. */
+/** Lines of one process in one second: logging must not slow down the refusals of an overload. */
 const MAX_LINES_PER_SECOND = 20;
 /** That second, in milliseconds. */
 const WINDOW_MS = MS_PER_SECOND;
--- a/src/call/request-target.ts
+++ b/src/call/request-target.ts
@@ -4,7 +4,7 @@
  */
 import { MS_PER_SECOND } from '../common/units.js';
 
-/** Longest time that a caller can say it waits, in seconds; the deadline of its kind bounds it besides. Not measured. */
+/** Longest time that a caller can say it waits, in seconds; the deadline of its kind bounds it besides. */
 const MAX_WAIT_SECONDS = 600;
 const WAIT_PREFERENCE = /(?:^|[,;\s])wait\s*=\s*"?(\d{1,6})"?/i;
 
--- a/src/call/retry-after.ts
+++ b/src/call/retry-after.ts
@@ -12,13 +12,13 @@
 /** No `Retry-After`: coming again does not help, or the request may have run. */
 export const NO_RETRY_AFTER = 0;
 
-/** After a fault that passes soon: a connection that broke, a target that leaves, no policy yet. In seconds, not measured. */
+/** After a fault that passes soon: a connection that broke, a target that leaves, no policy yet. In seconds. */
 export const SOON_SECONDS = 1;
 
 /** After a request under which targets crash: the first term of its quarantine, in seconds. */
 export const QUARANTINED_SECONDS = 600;
 
-/** Longest time told for an overload, in seconds. Not measured. */
+/** Longest time told for an overload, in seconds. */
 const MAX_OVERLOAD_SECONDS = 10;
 
 /** Mean time told where the configuration may be old, in seconds: a lost leader is followed by another within 1 to 3 s. */
--- a/src/call/stop-phase.ts
+++ b/src/call/stop-phase.ts
@@ -18,13 +18,13 @@
 
 /**
  * Parts of the time until a stopping process is killed at which its phases end. Longer draining serves more new calls, and
- * leaves less time to those under way. docs/design/platform.md tells what was weighed; the values are not measured.
+ * leaves less time to those under way. docs/design/platform.md tells what was weighed.
  */
 const DRAIN_PART = 0.42;
 const ANSWER_PART = 0.9;
-/** The rest is for connections to close and for the process to end, on a machine that is busy. Not measured. */
+/** The rest is for connections to close and for the process to end, on a machine that is busy. */
 const END_PART = 0.93;
-/** Part of a declared time for calls to finish at which their answers have to be there. Not measured. */
+/** Part of a declared time for calls to finish at which their answers have to be there. */
 const DECLARED_ANSWER_PART = 0.95;
 
 /** How long the phases of a stop may take, in milliseconds from its beginning. */
--- a/src/call/stop-policy.ts
+++ b/src/call/stop-policy.ts
@@ -11,21 +11,21 @@
 /**
  * Part of the latest calls of a kind that must have been over within the time left. A call that is refused can go to
  * another process at no cost, so a gate, and an ingress whose request may run only once, take what is nearly sure.
- * The value is not measured.
+ *
  */
 const NEARLY_SURE_PART = 0.95;
 /**
  * For requests that may be repeated: to refuse one costs its caller as much as to lose it, and the work of the run
- * besides, where a target makes it. The value is not measured.
+ * besides, where a target makes it.
  */
 const PROBABLE_PART = 0.75;
 
 /**
  * A target is told to stop this long before the last moment for its answer, so that its own answer still gets there.
- * A tenth of a second is many times what an answer takes between machines; not measured.
+ * A tenth of a second is many times what an answer takes between machines.
  */
 const ANSWER_MARGIN_MS = 100;
-/** Most that is kept for the answer, as a part of the time left. Not measured. */
+/** Most that is kept for the answer, as a part of the time left. */
 const MAX_ANSWER_MARGIN_PART = 0.5;
 
 /** A request that an ingress may take. */
--- a/src/call/trace-parent.ts
+++ b/src/call/trace-parent.ts
@@ -34,7 +34,7 @@
   return `00-${parent.traceId}-${parent.spanId}-01`;
 }
 
-/** Random bytes that are drawn at once: one draw serves some 170 calls. Not measured. */
+/** Random bytes that are drawn at once: one draw serves some 170 calls. */
 const POOL_BYTES = 4096;
 const pool = Buffer.alloc(POOL_BYTES);
 let poolOffset = POOL_BYTES;
--- a/src/client/replica-requests.ts
+++ b/src/client/replica-requests.ts
@@ -31,13 +31,13 @@
   readonly body?: string;
 }
 
-/** Longest time for one exchange, in milliseconds: twice as long as a replica waits for a quorum. Not measured. */
+/** Longest time for one exchange, in milliseconds: twice as long as a replica waits for a quorum. */
 const DEFAULT_TIMEOUT_MS = 10_000;
-/** Most redirects of one request: leaders may change meanwhile. Not measured. */
+/** Most redirects of one request: leaders may change meanwhile. */
 const MAX_REDIRECTS = 3;
-/** Rounds over all replicas; with the pauses longer than an election. Not measured. */
+/** Rounds over all replicas; with the pauses longer than an election. */
 export const MAX_ROUNDS = 15;
-/** Pause between two rounds, in milliseconds. Not measured. */
+/** Pause between two rounds, in milliseconds. */
 const ROUND_PAUSE_MS = 300;
 
 export class ReplicaRequests {
--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -36,9 +36,9 @@
   uptimeMs: () => uptime() * MS_PER_SECOND,
 };
 
-/** Shorter suspensions don't count, in milliseconds: the time since the start is told to 10 ms only. Not measured. */
+/** Shorter suspensions don't count, in milliseconds: the time since the start is told to 10 ms only. */
 const MIN_SUSPENSION_MS = 100;
-/** Most by which the two clocks that go on may differ over a suspension, in milliseconds. Not measured. */
+/** Most by which the two clocks that go on may differ over a suspension, in milliseconds. */
 const TOLERANCE_MS = 60;
 
 /**
--- a/src/common/sliding-count.ts
+++ b/src/common/sliding-count.ts
@@ -5,7 +5,7 @@
  * Owns a ring of sums, one a step. Pure: the time is passed in, and may not run backwards.
  */
 
-/** Steps of a window: with 20 an event counts for up to a twentieth of the window too long. Not measured. */
+/** Steps of a window: with 20 an event counts for up to a twentieth of the window too long. */
 const STEPS = 20;
 /** The window covers one step more than it is long, so that no event is forgotten early. */
 const PLACES = STEPS + 1;
--- a/src/consensus/applied-log.ts
+++ b/src/consensus/applied-log.ts
@@ -6,7 +6,7 @@
 import type { RaftState } from './raft-state.js';
 import type { LogEntry, Snapshot } from '../storage/persisted-state.js';
 
-/** Entries between two snapshots: bounds the log that a start reads. Not measured. */
+/** Entries between two snapshots: bounds the log that a start reads. */
 const DEFAULT_SNAPSHOT_INTERVAL = 1_000;
 
 interface Proposal {
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -7,7 +7,7 @@
 import type { RaftState } from './raft-state.js';
 import type { ElectNow, VoteRequest, VoteResponse } from './raft-types.js';
 
-/** After this many timeouts in a row without a leader, a replica may have been put out of its set. Not measured. */
+/** After this many timeouts in a row without a leader, a replica may have been put out of its set. */
 const TIMEOUTS_BEFORE_REJOIN = 3;
 
 export class Election {
--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -14,9 +14,9 @@
 import type { EntryPayload, LogEntry, Replica, ReplicaSet } from '../storage/persisted-state.js';
 import { nextReplicaChange, withLearner, withoutReplica } from './replica-changes.js';
 
-/** Heartbeats in an election timeout: four may be lost before a replica stands for election. Not measured. */
+/** Heartbeats in an election timeout: four may be lost before a replica stands for election. */
 const HEARTBEATS_PER_TIMEOUT = 5;
-/** A voter is silent after this many election timeouts without an answer: longer than an election. Not measured. */
+/** A voter is silent after this many election timeouts without an answer: longer than an election. */
 const SILENT_TIMEOUTS = 3;
 
 export class Leadership {
--- a/src/consensus/peer-replication.ts
+++ b/src/consensus/peer-replication.ts
@@ -7,7 +7,7 @@
 import type { RaftState } from './raft-state.js';
 import type { AppendResponse } from './raft-types.js';
 
-/** Entries in one message, so that a replica that is far behind gets several of bounded size. Not measured. */
+/** Entries in one message, so that a replica that is far behind gets several of bounded size. */
 const MAX_ENTRIES_PER_APPEND = 200;
 
 export class PeerReplication {
--- a/src/consensus/raft-log.ts
+++ b/src/consensus/raft-log.ts
@@ -4,7 +4,7 @@
  */
 import type { LogEntry, ReplicaSet, Snapshot } from '../storage/persisted-state.js';
 
-/** Entries kept behind a snapshot, so that a replica that is a little behind needs no snapshot. Not measured. */
+/** Entries kept behind a snapshot, so that a replica that is a little behind needs no snapshot. */
 const KEPT_ENTRIES = 500;
 
 const NO_REPLICAS: ReplicaSet = { voters: [], learners: [] };
--- a/src/consensus/replica-host.ts
+++ b/src/consensus/replica-host.ts
@@ -54,9 +54,9 @@
   | 'failed'
   | 'stopped';
 
-/** Probes in an election timeout while a replica waits for the others. Not measured. */
+/** Probes in an election timeout while a replica waits for the others. */
 const PROBES_PER_TIMEOUT = 2;
-/** A replica whose disk refused a write tries again after this long, in milliseconds. Not measured. */
+/** A replica whose disk refused a write tries again after this long, in milliseconds. */
 const REOPEN_DELAY_MS = 1_000;
 
 export class ReplicaHost {
--- a/src/control/change-history.ts
+++ b/src/control/change-history.ts
@@ -4,7 +4,7 @@
  */
 import type { ResourceChange } from '../policy/stored-resource.js';
 
-/** Changes kept. At 1,800 changes a day, about a day's worth; not measured. */
+/** Changes kept. At 1,800 changes a day, about a day's worth. */
 const MAX_CHANGES = 2_000;
 
 export class ChangeHistory {
--- a/src/control/change-request.ts
+++ b/src/control/change-request.ts
@@ -10,7 +10,7 @@
 
 const RESOURCE_PATH = /^\/v1\/resources\/([A-Za-z]+)\/([a-z0-9-]+)$/;
 const ENTITY_TAG = /^"(\d+)"$/;
-/** Longest change id, in characters: each is kept with its answer. Not measured. */
+/** Longest change id, in characters: each is kept with its answer. */
 const MAX_CHANGE_ID_LENGTH = 128;
 
 /** What the headers of a change say, or what is wrong with them. */
--- a/src/control/claim-view-planner.ts
+++ b/src/control/claim-view-planner.ts
@@ -20,9 +20,9 @@
   readonly silentForMs: (nodeId: string) => number;
 }
 
-/** A restarted node is back within this time, in milliseconds; then its place is kept. Not measured. */
+/** A restarted node is back within this time, in milliseconds; then its place is kept. */
 export const GONE_AFTER_MS = 30_000;
-/** The same where a majority is silent, in milliseconds: more likely control is cut off than all of them gone. Not measured. */
+/** The same where a majority is silent, in milliseconds: more likely control is cut off than all of them gone. */
 const MAJORITY_GONE_AFTER_MS = 10 * 60_000;
 
 /** The next view; undefined when the current one stands. */
--- a/src/control/declaration-api.ts
+++ b/src/control/declaration-api.ts
@@ -26,7 +26,7 @@
 }
 
 const VERSION_TAG = /^"?(\d{1,15})"?$/;
-/** Longest body, in bytes: a set of a few thousand routes. Not measured. */
+/** Longest body, in bytes: a set of a few thousand routes. */
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const UNKNOWN_HOLDER: AccessToken = { name: 'operator', role: 'write', tokenHash: '' };
 
--- a/src/control/declaration-history.ts
+++ b/src/control/declaration-history.ts
@@ -22,7 +22,7 @@
   /** Another version is current. */
   | { readonly type: 'conflict'; readonly currentVersion: number };
 
-/** Sets that are remembered. At 1,800 a day, more than ten days' worth; not measured. */
+/** Sets that are remembered. At 1,800 a day, more than ten days' worth. */
 const MAX_REMEMBERED = 20_000;
 
 export class DeclarationHistory {
--- a/src/control/endpoint-list.ts
+++ b/src/control/endpoint-list.ts
@@ -5,7 +5,7 @@
 import type { EndpointRecord } from '../call/endpoint.js';
 import type { EndpointChange } from '../sync/sync-protocol.js';
 
-/** Changes kept for followers that are behind; one that is further behind gets the whole list. Not measured. */
+/** Changes kept for followers that are behind; one that is further behind gets the whole list. */
 const MAX_CHANGES = 5_000;
 
 export class EndpointList {
--- a/src/control/follower-api.ts
+++ b/src/control/follower-api.ts
@@ -37,9 +37,9 @@
   readonly responder: SyncResponder;
 }
 
-/** Longest request, in bytes, and longest time for it to arrive, in milliseconds. Not measured. */
+/** Longest request, in bytes, and longest time for it to arrive, in milliseconds. */
 const BODY_LIMITS: BodyLimits = { bufferBytes: 64 * 1024, maxBytes: 64 * 1024, timeoutMs: 5_000 };
-/** Time between two checks of a held request that this replica still has a leader, in milliseconds. Not measured. */
+/** Time between two checks of a held request that this replica still has a leader, in milliseconds. */
 const HEALTH_CHECK_INTERVAL_MS = 2_000;
 
 export class FollowerApi {
--- a/src/control/member-table.ts
+++ b/src/control/member-table.ts
@@ -21,13 +21,13 @@
   readonly heardAt: number;
 }
 
-/** Default of the lease, in milliseconds: five heartbeats at their default interval. Not measured. */
+/** Default of the lease, in milliseconds: five heartbeats at their default interval. */
 export const MEMBER_LEASE_MS = 10_000;
-/** When more than this fraction falls silent together, the replica suspects its own network. Not measured. */
+/** When more than this fraction falls silent together, the replica suspects its own network. */
 const MASS_SILENCE_FRACTION = 0.3;
-/** Members below which any number that falls silent together is taken to be gone. Not measured. */
+/** Members below which any number that falls silent together is taken to be gone. */
 const MIN_MEMBERS_FOR_MASS_SILENCE = 10;
-/** Heartbeats that were delayed arrive together; those of a process that runs come this far apart, in milliseconds. Not measured. */
+/** Heartbeats that were delayed arrive together; those of a process that runs come this far apart, in milliseconds. */
 const MIN_HEARTBEAT_GAP_MS = 300;
 
 export class MemberTable {
--- a/src/control/platform-list.ts
+++ b/src/control/platform-list.ts
@@ -18,7 +18,7 @@
   ),
 });
 
-/** Longest time for one reading, in milliseconds. Not measured. */
+/** Longest time for one reading, in milliseconds. */
 const TIMEOUT_MS = 2_000;
 
 export interface PlatformListOptions {
--- a/src/control/quarantine-keeper.ts
+++ b/src/control/quarantine-keeper.ts
@@ -13,15 +13,15 @@
 
 /** Recorded as the author of changes that control makes itself. */
 const ACTOR = 'shoredoor';
-/** Time of the first quarantine of a request, in milliseconds; each further one is several times as long. Not measured. */
+/** Time of the first quarantine of a request, in milliseconds; each further one is several times as long. */
 const FIRST_TERM_MS = 10 * 60_000;
-/** How many times as long as the one before each further quarantine is. Not measured. */
+/** How many times as long as the one before each further quarantine is. */
 const TERM_FACTOR = 4;
-/** Longest time of one quarantine, in milliseconds. Not measured. */
+/** Longest time of one quarantine, in milliseconds. */
 const MAX_TERM_MS = 24 * 60 * 60_000;
-/** Time after a quarantine for which one more crash under the request renews it, in milliseconds. Not measured. */
+/** Time after a quarantine for which one more crash under the request renews it, in milliseconds. */
 const PROBATION_MS = 24 * 60 * 60_000;
-/** Requests in quarantine or on probation at once: each costs the store about 200 bytes. The bound is not measured. */
+/** Requests in quarantine or on probation at once: each costs the store about 200 bytes. */
 const MAX_QUARANTINES = 256;
 
 /** What the keeper is made of. */
--- a/src/control/remembered-results.ts
+++ b/src/control/remembered-results.ts
@@ -13,7 +13,7 @@
   readonly result: ResourceResult;
 }
 
-/** Answers that are remembered. At 1,800 changes a day, more than five days' worth; not measured. */
+/** Answers that are remembered. At 1,800 changes a day, more than five days' worth. */
 const MAX_REMEMBERED = 10_000;
 
 export class RememberedResults {
--- a/src/control/replicated-command-log.ts
+++ b/src/control/replicated-command-log.ts
@@ -17,9 +17,9 @@
   ResourceResult,
 } from './commands.js';
 
-/** Longest time that an operator waits for a quorum, in milliseconds: several elections. Not measured. */
+/** Longest time that an operator waits for a quorum, in milliseconds: several elections. */
 const PROPOSE_TIMEOUT_MS = 5_000;
-/** Longest time for a read barrier, in milliseconds; shorter, since a read can be sent again at once. Not measured. */
+/** Longest time for a read barrier, in milliseconds; shorter, since a read can be sent again at once. */
 const READ_TIMEOUT_MS = 1_500;
 
 export class ReplicatedCommandLog implements CommandLog {
--- a/src/control/replication-link.ts
+++ b/src/control/replication-link.ts
@@ -12,14 +12,14 @@
 
 export const REPLICATION_PATH = '/internal/replication';
 
-/** Longest message, in bytes: a snapshot is the largest. Not measured. */
+/** Longest message, in bytes: a snapshot is the largest. */
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const BODY_LIMITS: BodyLimits = {
   bufferBytes: MAX_MESSAGE_BYTES,
   maxBytes: MAX_MESSAGE_BYTES,
   timeoutMs: 10_000,
 };
-/** Messages to one replica that may be under way; a replica that does not answer gets no more. Not measured. */
+/** Messages to one replica that may be under way; a replica that does not answer gets no more. */
 const MAX_UNDER_WAY = 16;
 
 interface Envelope {
--- a/src/control/resource-api.ts
+++ b/src/control/resource-api.ts
@@ -37,7 +37,7 @@
   readonly logger: Logger;
 }
 
-/** Longest body of a change, in bytes. Not measured. */
+/** Longest body of a change, in bytes. */
 const MAX_BODY_BYTES = 1024 * 1024;
 const RESOURCES_PATH = '/v1/resources';
 
--- a/src/control/status-report.ts
+++ b/src/control/status-report.ts
@@ -5,7 +5,7 @@
 import type { LogStatus, StatusReport } from '../sync/status-report.js';
 import type { Member } from './member-table.js';
 
-/** Most lagging members that a report names, so that it stays short on a large fleet. Not measured. */
+/** Most lagging members that a report names, so that it stays short on a large fleet. */
 const MAX_LAGGING_SHOWN = 50;
 
 /** Builds the report of one replica. */
--- a/src/control/sync-packer.ts
+++ b/src/control/sync-packer.ts
@@ -10,7 +10,7 @@
 import type { SyncRequest } from '../sync/sync-protocol.js';
 import type { SyncResponder } from './sync-responder.js';
 
-/** Revisions of followers for which the packed news are kept: most are at the newest one or two. Not measured. */
+/** Revisions of followers for which the packed news are kept: most are at the newest one or two. */
 const MAX_KEPT = 8;
 
 export class SyncPacker {
--- a/src/control/watch-streams.ts
+++ b/src/control/watch-streams.ts
@@ -4,9 +4,9 @@
 import type { ResourceStore } from './resource-store.js';
 import type { WatchEvent } from '../sync/watch-event.js';
 
-/** Time between two signs of life on a watch without changes, in milliseconds: half a client's limit. Not measured. */
+/** Time between two signs of life on a watch without changes, in milliseconds: half a client's limit. */
 const BOOKMARK_INTERVAL_MS = 5_000;
-/** A watcher that leaves this much unread, in bytes, is cut off; it resumes from its last revision. Not measured. */
+/** A watcher that leaves this much unread, in bytes, is cut off; it resumes from its last revision. */
 const MAX_UNREAD_BYTES = 1024 * 1024;
 
 export class WatchStreams {
--- a/src/dedup/claim-replica.ts
+++ b/src/dedup/claim-replica.ts
@@ -30,17 +30,17 @@
   readonly assumeWhole?: boolean;
 }
 
-/** How long a key is remembered, in milliseconds: a repeat that comes later runs again. Not measured. */
+/** How long a key is remembered, in milliseconds: a repeat that comes later runs again. */
 export const CLAIM_LIFETIME_MS = 10 * 60_000;
 /**
  * A process that has not heard from control for this long grants no keys: it may hold a view that the
- * others have left. They rely on it when they wait for old claims to run out. Not measured.
+ * others have left. They rely on it when they wait for old claims to run out.
  */
 export const CLAIM_FENCE_MS = 5 * 60_000;
 
-/** First pause before records are asked for again, in milliseconds. Not measured. */
+/** First pause before records are asked for again, in milliseconds. */
 const FIRST_PULL_INTERVAL_MS = 300;
-/** A pull moves all claims, so it is repeated ever less often, up to this pause in milliseconds. Not measured. */
+/** A pull moves all claims, so it is repeated ever less often, up to this pause in milliseconds. */
 const MAX_PULL_INTERVAL_MS = 10_000;
 const UNAVAILABLE: ClaimReply = { type: 'unavailable' };
 const DONE: ClaimReply = { type: 'done' };
--- a/src/dedup/claim-view.ts
+++ b/src/dedup/claim-view.ts
@@ -10,7 +10,7 @@
 /** A node in a view. `incarnation` is that of its process when the view was declared. */
 export type ClaimMember = ClaimView['spec']['members'][number];
 
-/** Nodes that keep each claim: with three, one may be lost. Not measured with other numbers. */
+/** Nodes that keep each claim: with three, one may be lost. */
 export const CLAIM_REPLICAS = 3;
 
 /** How many of a key's replicas must agree. */
--- a/src/dedup/quorum-claims.ts
+++ b/src/dedup/quorum-claims.ts
@@ -9,11 +9,11 @@
 import type { ClaimReplica } from './claim-replica.js';
 import { claimQuorum, replicasOf, type ClaimMember } from './claim-view.js';
 
-/** Time after which a round without a decision is begun again, in milliseconds. Not measured. */
+/** Time after which a round without a decision is begun again, in milliseconds. */
 const ROUND_MS = 150;
-/** Pause before asking again when a replica could not tell, as while a view changes, in milliseconds. Not measured. */
+/** Pause before asking again when a replica could not tell, as while a view changes, in milliseconds. */
 const PAUSE_MS = 50;
-/** Longest time until a key that can't be claimed is refused as unknown, in milliseconds. Not measured. */
+/** Longest time until a key that can't be claimed is refused as unknown, in milliseconds. */
 const GIVE_UP_MS = 600;
 
 const UNKNOWN: ClaimDecision = {
--- a/src/follower/configuration-proof.ts
+++ b/src/follower/configuration-proof.ts
@@ -12,7 +12,7 @@
   readonly provenAt: number;
 }
 
-/** Confirmations that wait for their revision: about as many as heartbeats while a large change is fetched. Not measured. */
+/** Confirmations that wait for their revision: about as many as heartbeats while a large change is fetched. */
 const MAX_PENDING = 16;
 
 export class ConfigurationProof {
--- a/src/follower/follower.ts
+++ b/src/follower/follower.ts
@@ -44,13 +44,13 @@
   readonly onSuperseded: () => void;
 }
 
-/** Time between two heartbeats, in milliseconds: five within the default lease of a member. Not measured. */
+/** Time between two heartbeats, in milliseconds: five within the default lease of a member. */
 export const HEARTBEAT_INTERVAL_MS = 2_000;
-/** Part of the interval within which a heartbeat must be answered, so that it ends before the next one. Not measured. */
+/** Part of the interval within which a heartbeat must be answered, so that it ends before the next one. */
 const HEARTBEAT_TIMEOUT_FRACTION = 0.75;
-/** Longest silence on a sync before another replica is asked, in milliseconds: the hold and a slow answer. Not measured. */
+/** Longest silence on a sync before another replica is asked, in milliseconds: the hold and a slow answer. */
 const SYNC_TIMEOUT_MS = SYNC_HOLD_MS + 2_000;
-/** Pause after a sync that failed, in milliseconds. Not measured. */
+/** Pause after a sync that failed, in milliseconds. */
 const RETRY_DELAY_MS = 200;
 
 export class Follower {
--- a/src/gate/gate-policy.ts
+++ b/src/gate/gate-policy.ts
@@ -14,7 +14,7 @@
  * (docs/rounds/order-mesh.md).
  */
 export const SLOT_FRACTION = 0.95;
-/** Bounds the queue: every call carries a bound of its own on its wait. In milliseconds. Not measured. */
+/** Bounds the queue: every call carries a bound of its own on its wait. In milliseconds. */
 export const QUEUE_WAIT_MS = 1_000;
 
 /**
@@ -25,7 +25,7 @@
 const NESTED_WAIT_FRACTION = 0.7;
 /**
  * Part of its bound after which a call that waits reports congestion. A request may pass many gates one
- * after the other, so short waits are reported already. Not measured.
+ * after the other, so short waits are reported already.
  */
 const CONGESTED_WAIT_FRACTION = 0.3;
 
--- a/src/gate/kind-tolerance.ts
+++ b/src/gate/kind-tolerance.ts
@@ -15,7 +15,7 @@
 const MAX_TARGET_TIME_PART: readonly number[] = [0.35, 0.35, 0.5, 0.8];
 /**
  * Part of the target's calls that may be congested before requests are limited, by importance, least first: the less
- * urgent ones make room first. Tried: half and twice as much (docs/DECISIONS.md).
+ * urgent ones make room first.
  */
 const TOLERATED_LEVEL: readonly number[] = [0.1, 0.1, 0.3, 0.5];
 
--- a/src/gate/target-room.ts
+++ b/src/gate/target-room.ts
@@ -1,7 +1,7 @@
 /** Whether a target that turns a call away can be short of room. Pure. */
 import type { AdmissionStatus } from '../admission/admission-controller.js';
 
-/** Part of its limit from which a target counts as full: reports of its slots may be a little old. Not measured. */
+/** Part of its limit from which a target counts as full: reports of its slots may be a little old. */
 const FULL_PART = 0.8;
 
 /**
--- a/src/http/answer-times.ts
+++ b/src/http/answer-times.ts
@@ -5,11 +5,11 @@
  * incarnation. Relies on: being told of every answer that begins.
  */
 
-/** Weight of one answer in the usual time, an exponentially weighted mean. Not measured. */
+/** Weight of one answer in the usual time, an exponentially weighted mean. */
 const WEIGHT = 0.1;
-/** A wait of this multiple of the usual time is suspicious: the slowest calls of most targets take less. Not measured. */
+/** A wait of this multiple of the usual time is suspicious: the slowest calls of most targets take less. */
 const SUSPICIOUS_MULTIPLE = 3;
-/** No wait below this is suspicious, in milliseconds: short times vary by more. Not measured. */
+/** No wait below this is suspicious, in milliseconds: short times vary by more. */
 const MIN_SUSPICIOUS_MS = 300;
 
 export class AnswerTimes {
--- a/src/http/api-request.ts
+++ b/src/http/api-request.ts
@@ -12,7 +12,7 @@
   | { readonly type: 'value'; readonly value: unknown }
   | { readonly type: 'problem'; readonly problem: ApiProblem };
 
-/** Longest time for the whole body to arrive, in milliseconds. Not measured. */
+/** Longest time for the whole body to arrive, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
 
 /** Reads and parses a body of at most `maxBytes`. */
--- a/src/http/api-response.ts
+++ b/src/http/api-response.ts
@@ -8,7 +8,7 @@
 
 const JSON_TYPE = 'application/json';
 const PROBLEM_TYPE = 'application/problem+json';
-/** When an operator's client may ask again while there is no leader, in seconds. Not measured. */
+/** When an operator's client may ask again while there is no leader, in seconds. */
 const NO_QUORUM_RETRY_AFTER_SECONDS = '1';
 
 /** Writes a JSON answer. */
--- a/src/http/claim-link.ts
+++ b/src/http/claim-link.ts
@@ -18,11 +18,11 @@
 export const MESSAGE_HEADER = 'shoredoor-message';
 export const CLAIM_MESSAGE = 'claim';
 
-/** Longest time for a message and its reply, in milliseconds. Not measured. */
+/** Longest time for a message and its reply, in milliseconds. */
 const TIMEOUT_MS = 1_000;
-/** A handover carries every claim of a node. The figure is not measured. */
+/** A handover carries every claim of a node. */
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
-/** The longest time for a message to arrive is not measured. */
+/** Bounds of a message, and the longest time for it to arrive. */
 const BODY_LIMITS: BodyLimits = {
   bufferBytes: MAX_MESSAGE_BYTES,
   maxBytes: MAX_MESSAGE_BYTES,
--- a/src/http/connection-pools.ts
+++ b/src/http/connection-pools.ts
@@ -6,7 +6,7 @@
  */
 import { Pool, type buildConnector, type Dispatcher } from 'undici';
 
-/** Longest time for a connection to be made, in milliseconds. Not measured. */
+/** Longest time for a connection to be made, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle connections are closed after this long, in milliseconds: before our own servers close them, after 30 s. */
 const KEEP_ALIVE_MS = 10_000;
--- a/src/http/control-client.ts
+++ b/src/http/control-client.ts
@@ -11,7 +11,7 @@
 
 /**
  * Longest time to make a connection, in milliseconds. A lost opening packet is sent again after 1, 3 and 7 seconds only, so
- * waiting for it would cost a replica that is back up to as long as it was gone. The figure is not measured.
+ * waiting for it would cost a replica that is back up to as long as it was gone.
  */
 const CONNECT_TIMEOUT_MS = 500;
 
--- a/src/http/listening-server.ts
+++ b/src/http/listening-server.ts
@@ -11,13 +11,13 @@
 
 /** Largest head of a request that is taken, in bytes: the engine's own default. */
 const MAX_HEADER_BYTES = 16 * 1024;
-/** Longest time for the head of a request to arrive, in milliseconds. Not measured. */
+/** Longest time for the head of a request to arrive, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
-/** Longest time for a whole request to arrive, in milliseconds. Not measured. */
+/** Longest time for a whole request to arrive, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 120_000;
 /** Longer than the keep-alive of our own clients, so that they close idle connections first. In milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
-/** Interval between two looks for connections over these limits, in milliseconds. Not measured. */
+/** Interval between two looks for connections over these limits, in milliseconds. */
 const CONNECTION_CHECK_MS = 2_000;
 
 /** What clients may send, where it differs from shoredoor's own limits. */
--- a/src/ingress/ingress-context.ts
+++ b/src/ingress/ingress-context.ts
@@ -14,19 +14,18 @@
 const DEFAULT_GROUP = 'default';
 /**
  * Part of its objective that a request may wait at a gate to be let in: longer, a refused one could not be sent again within
- * its objective; shorter, more are refused in a short surge. Not measured.
+ * its objective; shorter, more are refused in a short surge.
  */
 const WAIT_FRACTION = 0.25;
 /**
  * An answer that takes this multiple of the traffic class's usual time is taken for lost, and a hedged request is sent: less
  * repeats slow answers, more finds a lost one too late. docs/rounds/order-mesh.md has the simulation without hedged requests,
- * in which no answer is lost; other multiples are not measured.
+ * in which no answer is lost.
  */
 const HEDGE_DELAY_FACTOR = 6;
 /**
  * Targets that are tried after one has refused for overload: each costs the caller the time of a refusal, and finds a target
- * of unlike load. Worth nothing in the simulation of docs/rounds/order-mesh.md, where all targets are alike; 2 and more are
- * not measured.
+ * of unlike load. Worth nothing in the simulation of docs/rounds/order-mesh.md, where all targets are alike.
  */
 const OVERLOAD_REROUTES = 1;
 
--- a/src/ingress/ingress-rules.ts
+++ b/src/ingress/ingress-rules.ts
@@ -46,7 +46,7 @@
 const HEADER_LINE_BYTES = 4;
 /**
  * Part of its objective that a request may wait for control to grant its group more. An answer of control takes some
- * milliseconds, and a request that is refused after the wait can still come again within its objective. Not measured.
+ * milliseconds, and a request that is refused after the wait can still come again within its objective.
  */
 const QUOTA_WAIT_PART = 0.1;
 
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -23,7 +23,7 @@
 
 /** Bytes of the length before each frame. */
 const LENGTH_BYTES = 4;
-/** A larger frame is an error of the peer: bodies are sent whole up to 64 KiB. The figure is not measured. */
+/** A larger frame is an error of the peer: bodies are sent whole up to 64 KiB. */
 const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 const packr = new Packr({ useRecords: false });
 
--- a/src/link/link-frames.ts
+++ b/src/link/link-frames.ts
@@ -136,6 +136,6 @@
 
 /**
  * Bytes of a body that may be under way before the receiver says that it took some: what one call holds in memory at most
- * on either side. Not measured.
+ * on either side.
  */
 export const BODY_WINDOW_BYTES = 256 * 1024;
--- a/src/link/peer-link.ts
+++ b/src/link/peer-link.ts
@@ -13,7 +13,7 @@
 import { LinkStream, type LinkCall, type LinkCallListener } from './link-stream.js';
 import type { PeerWatch } from './peer-watch.js';
 
-/** Longest wait for a connection to be made, in milliseconds. Not measured. */
+/** Longest wait for a connection to be made, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
 /**
  * A link that has been idle for this long is asked for a sign of life before a call is written to it, in milliseconds:
@@ -21,7 +21,7 @@
  * measured; `test/link/silent-link.test.ts` holds what it is for.
  */
 const PROBE_AFTER_MS = 1_000;
-/** Longest wait for that sign, in milliseconds. Not measured; longer than a way there and back between regions. */
+/** Longest wait for that sign, in milliseconds: longer than a way there and back between regions. */
 const PROBE_TIMEOUT_MS = 300;
 
 /**
--- a/src/link/peer-watch.ts
+++ b/src/link/peer-watch.ts
@@ -25,29 +25,28 @@
   close(): void;
 }
 
-/** Time between two looks at the peers, in milliseconds. Not measured. */
+/** Time between two looks at the peers, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 /**
- * Silence after which a busy peer is asked for a sign of life, in milliseconds: longer than most calls take. Not measured.
+ * Silence after which a busy peer is asked for a sign of life, in milliseconds: longer than most calls take.
  */
 const PING_AFTER_MS = 200;
 /**
  * Silence after which a busy peer gets no new calls, in milliseconds: it has not answered a ping for at least 150 ms, more
  * than a way there and back between regions. Without this bound, calls are written to a link that is cut, and lost as "may
- * have run", until it is given up. `test/link/silent-link.test.ts` holds that; the figure itself is not measured.
+ * have run", until it is given up. `test/link/silent-link.test.ts` holds that.
  */
 const SUSPECT_AFTER_MS = 450;
 /**
  * Silence after which the link is given up, in milliseconds: longer than a way there and back between regions and than a
- * stall of either process (docs/PROOFS.md). The figure itself is not measured.
+ * stall of either process (docs/PROOFS.md).
  */
 const GIVE_UP_AFTER_MS = 1_400;
 /**
- * A check that comes this long after the one before means that this process stood still, not its peers. In milliseconds,
- * not measured.
+ * A check that comes this long after the one before means that this process stood still, not its peers. In milliseconds.
  */
 const LATE_CHECK_MS = 250;
-/** Least time from one ping to the next, in milliseconds: a peer may work on a call for long. Not measured. */
+/** Least time from one ping to the next, in milliseconds: a peer may work on a call for long. */
 const PING_GAP_MS = 250;
 
 export class PeerWatch {
--- a/src/membership/instance-pool.ts
+++ b/src/membership/instance-pool.ts
@@ -14,12 +14,12 @@
 
 /**
  * Idle connections are closed after this long, in milliseconds: before targets that say nothing of their own limit close
- * them. Below the 5 s that HTTP servers of Node.js keep them by default; not measured.
+ * them. Below the 5 s that HTTP servers of Node.js keep them by default.
  */
 const IDLE_MS = 4_000;
-/** Most connections to a target until the service's declaration is known. Not measured. */
+/** Most connections to a target until the service's declaration is known. */
 const DEFAULT_CONNECTIONS = 100;
-/** Least time from one exchange of connections to the next, in milliseconds: a target may just be slow. Not measured. */
+/** Least time from one exchange of connections to the next, in milliseconds: a target may just be slow. */
 const MIN_EXCHANGE_GAP_MS = 2_000;
 
 /** Where the next call goes. */
--- a/src/membership/port-probe.ts
+++ b/src/membership/port-probe.ts
@@ -6,7 +6,7 @@
  */
 import { connect } from 'node:net';
 
-/** Longest wait for an answer, in milliseconds: the target is on the same machine. Not measured. */
+/** Longest wait for an answer, in milliseconds: the target is on the same machine. */
 const TIMEOUT_MS = 300;
 
 /**
--- a/src/membership/registration-api.ts
+++ b/src/membership/registration-api.ts
@@ -15,7 +15,7 @@
 import type { TargetLease } from './target-lease.js';
 
 const INSTANCE_PATH = /^\/v1\/instances\/([^/?]+)$/;
-/** Largest report that is taken, in bytes. Not measured. */
+/** Largest report that is taken, in bytes. */
 const MAX_BODY_BYTES = 16 * 1024;
 
 /** Milliseconds since 1970 at which the target started. */
--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -61,13 +61,12 @@
 
 /**
  * Reports that were delayed arrive together; those of a target that runs come at least this far apart, in milliseconds.
- * Not measured.
  */
 const MIN_REPORT_GAP_MS = 300;
 
 /**
  * Most incarnations that are remembered once they have left, been replaced or refused connections, of each of these, so
- * that late reports are known. Bounds memory; not measured.
+ * that late reports are known. Bounds memory.
  */
 const MAX_REMEMBERED = 100;
 
--- a/src/membership/target-probe.ts
+++ b/src/membership/target-probe.ts
@@ -19,7 +19,7 @@
   readonly path: string;
 }
 
-/** A probe waits for a slot like a request, so a busy target needs some time. Not measured. */
+/** A probe waits for a slot like a request, so a busy target needs some time. */
 const TIMEOUT_MS = 1_000;
 /** Fields of the load that a target tells: running, waiting, slots. */
 const LOAD_FIELDS = 3;
--- a/src/node/node-inbound-server.ts
+++ b/src/node/node-inbound-server.ts
@@ -45,10 +45,10 @@
 /** Kind of calls that match no declared kind. */
 export const UNKNOWN_KIND = 'unknown';
 
-/** Deadline of a call of no declared kind, in milliseconds from its arrival. Not measured. */
+/** Deadline of a call of no declared kind, in milliseconds from its arrival. */
 const DEFAULT_DEADLINE_MS = 2_000;
 const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
-/** Longer keys are not claimed, in characters: each is remembered on three nodes. Not measured. */
+/** Longer keys are not claimed, in characters: each is remembered on three nodes. */
 const MAX_KEY_LENGTH = 256;
 
 export class NodeInboundServer {
--- a/src/node/node-outbound-server.ts
+++ b/src/node/node-outbound-server.ts
@@ -39,9 +39,9 @@
   readonly hasService: (service: string) => boolean;
 }
 
-/** Deadline of a call of no declared kind, in milliseconds from its arrival. Not measured. */
+/** Deadline of a call of no declared kind, in milliseconds from its arrival. */
 const DEFAULT_DEADLINE_MS = 2_000;
-/** Retries for each first attempt of calls of no declared kind. Not measured. */
+/** Retries for each first attempt of calls of no declared kind. */
 const DEFAULT_RETRY_RATIO = 0.1;
 
 const UNKNOWN_SERVICE: Refusal = {
--- a/src/observe/admin-server.ts
+++ b/src/observe/admin-server.ts
@@ -23,7 +23,7 @@
 
 /**
  * Time between two looks at the delay of the event loop, in milliseconds. Each one wakes the process:
- * at prom-client's default of 10 an idle process wakes a hundred times a second for nothing else. Not measured.
+ * at prom-client's default of 10 an idle process wakes a hundred times a second for nothing else.
  */
 const LOOP_DELAY_PRECISION_MS = 1_000;
 
--- a/src/policy/group-schema.ts
+++ b/src/policy/group-schema.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod';
 import type { Fault } from '../common/errors.js';
 
-// Bounds against mistakes, in characters and requests a second; not measured.
+// Bounds against mistakes, in characters and requests a second.
 const MAX_NAME_LENGTH = 200;
 const MAX_KEY_LENGTH = 1_000;
 const MAX_RATE = 1e9;
--- a/src/policy/group-table.ts
+++ b/src/policy/group-table.ts
@@ -20,7 +20,7 @@
   readonly rate: GroupRate | undefined;
 }
 
-/** Share of a group that no policy names, relative to declared shares: it gets what the others leave. Not measured. */
+/** Share of a group that no policy names, relative to declared shares: it gets what the others leave. */
 const UNKNOWN_GROUP_SHARE = 1e-3;
 /** Groups of a declared set have equal shares. */
 const DECLARED_SHARE = 1;
--- a/src/policy/resource-schema.ts
+++ b/src/policy/resource-schema.ts
@@ -11,21 +11,21 @@
 import { groupResourceSchema } from './group-schema.js';
 import { ingressResourceSchema, routeResourceSchema } from './route-schema.js';
 
-// Bounds against mistakes: milliseconds, retries of a request, requests at once. Not measured.
+// Bounds against mistakes: milliseconds, retries of a request, requests at once.
 const MAX_DEADLINE_MS = 600_000;
 const MAX_RETRY_ALLOWANCE = 10;
 const MAX_CONCURRENCY = 10_000;
-/** Milliseconds from arrival to the last moment an answer is of use. Not measured. */
+/** Milliseconds from arrival to the last moment an answer is of use. */
 const DEFAULT_DEADLINE_MS = 2_000;
-/** Retries of one request over its whole chain. Not measured. */
+/** Retries of one request over its whole chain. */
 const DEFAULT_RETRY_ALLOWANCE = 2;
-/** Retries for each first attempt of a process. Not measured. */
+/** Retries for each first attempt of a process. */
 const DEFAULT_RETRY_RATIO = 0.1;
-/** Longest time in the queue of a node, in milliseconds. Not measured. */
+/** Longest time in the queue of a node, in milliseconds. */
 const DEFAULT_QUEUE_WAIT_MS = 100;
-/** Connections from a node to its target. Not measured. */
+/** Connections from a node to its target. */
 const DEFAULT_CONNECTIONS = 100;
-/** Time over which a new target takes up its load, in milliseconds. Not measured. */
+/** Time over which a new target takes up its load, in milliseconds. */
 const DEFAULT_SLOW_START_MS = 10_000;
 
 /** Names of resources, groups, kinds and services. */
--- a/src/policy/route-schema.ts
+++ b/src/policy/route-schema.ts
@@ -9,7 +9,7 @@
 import { faultsOf } from '../common/validate.js';
 import { declaredNameSchema, groupResourceSchema, sharedKeyFaults } from './group-schema.js';
 
-// Bounds against mistakes: milliseconds, characters (of a host, RFC 1035), and targets of one request. Not measured.
+// Bounds against mistakes: milliseconds, characters (of a host, RFC 1035), and targets of one request.
 const MAX_TIME_MS = 3_600_000;
 const MAX_HOST_LENGTH = 253;
 const MAX_PREFIX_LENGTH = 4_096;
--- a/src/policy/route-table.ts
+++ b/src/policy/route-table.ts
@@ -37,7 +37,7 @@
   readonly idleTimeoutMs: number;
 }
 
-/** What holds where no Ingress resource says otherwise: bytes and milliseconds, not measured. */
+/** What holds where no Ingress resource says otherwise: bytes and milliseconds. */
 export const DEFAULT_INGRESS_LIMITS: IngressLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 64 * 1024 * 1024,
--- a/src/programs/control-program.ts
+++ b/src/programs/control-program.ts
@@ -18,16 +18,16 @@
 import { routeTo } from './control-routes.js';
 import { delay, within, type Program } from './program.js';
 
-/** Milliseconds between two looks for members whose lease has ended. Not measured: a twentieth of the default lease. */
+/** Milliseconds between two looks for members whose lease has ended: a twentieth of the default lease. */
 const EXPIRE_INTERVAL_MS = 500;
 /**
  * Milliseconds. Part of the 3 s from the third crash under a request until all processes keep it from targets; shorter
- * than an election, so that each leader has its line. Not measured.
+ * than an election, so that each leader has its line.
  */
 const LEADER_CHECK_INTERVAL_MS = 100;
-/** Milliseconds. A replica that stops answers this long, so that clients are told to ask another. Not measured. */
+/** Milliseconds. A replica that stops answers this long, so that clients are told to ask another. */
 const STOP_LINGER_MS = 200;
-/** Longest time for connections to end after that, in milliseconds. Not measured. */
+/** Longest time for connections to end after that, in milliseconds. */
 const STOP_TIMEOUT_MS = 1_000;
 
 /** The servers of a control replica. */
--- a/src/programs/edge-program.ts
+++ b/src/programs/edge-program.ts
@@ -28,7 +28,7 @@
 import { processRandom } from './process-random.js';
 import { delay, within, type Program } from './program.js';
 
-/** Connections that an edge opens to one node. Not measured. */
+/** Connections that an edge opens to one node. */
 const CONNECTIONS_PER_NODE = 256;
 
 /** What an edge is made of. */
--- a/src/programs/node-parts.ts
+++ b/src/programs/node-parts.ts
@@ -29,7 +29,7 @@
 } from './following-process.js';
 import { processRandom } from './process-random.js';
 
-/** Connections that a node opens to one node of another service. Not measured. */
+/** Connections that a node opens to one node of another service. */
 const CONNECTIONS_PER_NODE = 128;
 
 /** Why a node takes no new calls; any one of these is enough. */
--- a/src/programs/node-program.ts
+++ b/src/programs/node-program.ts
@@ -17,7 +17,7 @@
 import { createNodeParts, type NodeParts } from './node-parts.js';
 import { delay, within, type Program } from './program.js';
 
-/** Milliseconds. A leaving node keeps refusing this long, so that callers with an old list are told. Not measured. */
+/** Milliseconds. A leaving node keeps refusing this long, so that callers with an old list are told. */
 const LEAVING_LINGER_MS = 3_000;
 
 /** The servers of a node. */
--- a/src/programs/sidecar-stop.ts
+++ b/src/programs/sidecar-stop.ts
@@ -32,9 +32,9 @@
 import type { Logger } from '../common/logger.js';
 import { delay, within } from './program.js';
 
-/** Longest time that a stop waits for control to hear of it, in milliseconds. Not measured. */
+/** Longest time that a stop waits for control to hear of it, in milliseconds. */
 const ANNOUNCEMENT_MS = 300;
-/** Longest time for connections to end after their last answers, in milliseconds. Not measured; most need a round trip. */
+/** Longest time for connections to end after their last answers, in milliseconds: most need a round trip. */
 const CLOSE_MS = 150;
 
 /** The parts of a sidecar that its stop concerns. */
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -16,22 +16,22 @@
 
 /**
  * Crashes under one request after which it is blamed for them: fewer blame a request that was there by chance, more cost
- * targets. Not measured.
+ * targets.
  */
 export const CRASHES_TO_BLAME = 3;
-/** The same where others were under way in just the same crashes. Not measured. */
+/** The same where others were under way in just the same crashes. */
 const CRASHES_TO_BLAME_ALIKE = 5;
-/** Crashes under one request from which it is told to all gates, so that one that has seen it end well says so. Not measured. */
+/** Crashes under one request from which it is told to all gates, so that one that has seen it end well says so. */
 const CRASHES_TO_SUSPECT = 2;
 /**
  * Time for that, in milliseconds. Two pushes over the control links take some 10 ms; the rest is for processes that are
- * busy. Together with the agreement it stays well below the 3 s in which all processes are to know. Not measured.
+ * busy. Together with the agreement it stays well below the 3 s in which all processes are to know.
  */
 const HEARING_MS = 700;
-/** Crashes are forgotten after this long, in milliseconds, and above this number: soft state is bounded. Not measured. */
+/** Crashes are forgotten after this long, in milliseconds, and above this number: soft state is bounded. */
 const CRASH_MEMORY_MS = 60 * 60_000;
 const MAX_CRASHES = 512;
-/** Suspects that are reported at once: bounds a sync. Not measured. */
+/** Suspects that are reported at once: bounds a sync. */
 const MAX_SUSPECTS = 128;
 
 interface Crash {
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -35,11 +35,11 @@
 const REPORT_MS = 10_000;
 /** Crashes reported at once: a target that is back within 2 s can crash this often in that time. */
 const MAX_REPORTED = 5;
-/** A request that ended well this long before the first crash under it is not the cause either, in milliseconds. Not measured. */
+/** A request that ended well this long before the first crash under it is not the cause either, in milliseconds. */
 const GOOD_BEFORE_MS = 10_000;
-/** With no more requests than this in the target, each is likely enough to be the cause to not be sent on. Not measured. */
+/** With no more requests than this in the target, each is likely enough to be the cause to not be sent on. */
 const MAX_LIKELY_CAUSES = 2;
-/** Fingerprints in the log line of a crash: bounds its length. Not measured. */
+/** Fingerprints in the log line of a crash: bounds its length. */
 const MAX_LOGGED = 8;
 
 interface ReportedCrash {
--- a/src/quarantine/crash-watch.ts
+++ b/src/quarantine/crash-watch.ts
@@ -33,12 +33,12 @@
 
 /**
  * Runs that were lost before a crash was noticed count as under way for this long, in milliseconds: connections break some
- * milliseconds before the port refuses, and the next incarnation reports seconds later. Not measured.
+ * milliseconds before the port refuses, and the next incarnation reports seconds later.
  */
 const LOST_MEMORY_MS = 5_000;
-/** Requests of one report; a target that works on more than this is rare, and the newest are the likeliest cause. Not measured. */
+/** Requests of one report; a target that works on more than this is rare, and the newest are the likeliest cause. */
 const MAX_SUSPECTS = 192;
-/** Incarnations that are remembered as crashed: late ends of runs ask for the latest few. Not measured. */
+/** Incarnations that are remembered as crashed: late ends of runs ask for the latest few. */
 const MAX_CRASHED = 16;
 
 /** What became of a target after a connection to it broke. */
--- a/src/quarantine/request-fingerprint.ts
+++ b/src/quarantine/request-fingerprint.ts
@@ -27,7 +27,7 @@
   readonly bodyStart: Buffer | null;
 }
 
-/** Hexadecimal digits of what is asked: 80 bits, so that no request can be made to look like a given other one. Not measured. */
+/** Hexadecimal digits of what is asked: 80 bits, so that no request can be made to look like a given other one. */
 const REQUEST_DIGITS = 20;
 /** Of the caller: a deployment has some hundred services, so 32 bits tell them apart. */
 const CALLER_DIGITS = 8;
--- a/src/quota/asking-schedule.ts
+++ b/src/quota/asking-schedule.ts
@@ -8,16 +8,16 @@
 
 /**
  * Control is asked for more of a group at most this often, in milliseconds; the time doubles while the answers bring no
- * permit, up to about that between heartbeats. Not measured.
+ * permit, up to about that between heartbeats.
  */
 const MIN_ASK_INTERVAL_MS = 50;
 const MAX_ASK_INTERVAL_MS = 800;
 /**
  * Asked less often than this for a group, in milliseconds, control has no more to grant: its requests are refused at once.
- * Passed with the fourth time in a row that brings no permit, 0.7 s after the first at the earliest. Not measured.
+ * Passed with the fourth time in a row that brings no permit, 0.7 s after the first at the earliest.
  */
 const EXHAUSTED_INTERVAL_MS = 400;
-/** Reports of an ingress that runs short of several groups are this far apart at least, in milliseconds. Not measured. */
+/** Reports of an ingress that runs short of several groups are this far apart at least, in milliseconds. */
 const MIN_GAP_MS = 20;
 
 /** How often control is asked for one group. */
--- a/src/quota/grant-rule.ts
+++ b/src/quota/grant-rule.ts
@@ -8,16 +8,16 @@
 import { QUOTA_LEASE_MS, type GroupUse } from './quota-messages.js';
 
 /**
- * An ingress gets at least this many requests more than it was offered: demand may rise before it asks again. Not measured.
+ * An ingress gets at least this many requests more than it was offered: demand may rise before it asks again.
  */
 const MIN_SPARE = 1;
 /**
- * An ingress that has been offered few requests gets up to this many more, and up to twice what it was offered. Not measured.
+ * An ingress that has been offered few requests gets up to this many more, and up to twice what it was offered.
  */
 const START_SPARE = 2;
 /**
  * More than a limit that is offered, as a part of it, from which the limit is divided; below, whoever runs short first
- * gets what is left, which wastes less of it. Not measured by itself: docs/design/shifted-work.md has the whole rule beside
+ * gets what is left, which wastes less of it: docs/design/shifted-work.md has the whole rule beside
  * three others.
  */
 const OVERLOADED_FROM = 1.1;
--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -24,7 +24,7 @@
 
 /**
  * The window that is counted is longer by this part: requests run a little later than they are counted, up to the wait
- * at a gate. Longer, fewer may run; shorter, more may run in a window of targets than were granted. Not measured by itself.
+ * at a gate. Longer, fewer may run; shorter, more may run in a window of targets than were granted.
  */
 const WINDOW_MARGIN = 0.02;
 
--- a/src/quota/ingress-quota.ts
+++ b/src/quota/ingress-quota.ts
@@ -32,7 +32,7 @@
 /** Hears whether a request may run; undefined where it may not. */
 export type PermitListener = (permit: QuotaPermit | undefined) => void;
 
-/** Groups that are remembered without a request in the last window, to bound memory. Not measured. */
+/** Groups that are remembered without a request in the last window, to bound memory. */
 const MAX_IDLE_GROUPS = 1_000;
 
 /** A request that waits for a permit. */
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -44,7 +44,7 @@
   readonly until: number;
 }
 
-/** Processes that begin after one loss of power are up within this of one another, in milliseconds. Not measured. */
+/** Processes that begin after one loss of power are up within this of one another, in milliseconds. */
 const SAME_START_MS = 2_000;
 
 export class QuotaLedger {
--- a/src/quota/quota-messages.ts
+++ b/src/quota/quota-messages.ts
@@ -43,6 +43,6 @@
 /**
  * Time for which a grant holds, in milliseconds: as long as a loss of the leader lasts in most cases (detection 0.6 to
  * 1.2 s, election and first heartbeat another second). Shorter, a lost leader refuses groups with a rate; longer, a group
- * runs short for longer after an ingress is lost. Other lengths are not measured.
+ * runs short for longer after an ingress is lost.
  */
 export const QUOTA_LEASE_MS = 4_500;
--- a/src/quota/quota-rule.ts
+++ b/src/quota/quota-rule.ts
@@ -15,13 +15,13 @@
   readonly slack: number;
 }
 
-/** What holds where a deployment declares no rule of its own. Not measured. */
+/** What holds where a deployment declares no rule of its own. */
 export const DEFAULT_QUOTA_RULE: QuotaRule = { windowMs: 5_000, tolerance: 0.1, slack: 20 };
 
 /**
  * Part of the tolerance and of the slack that is handed out. The rest is for what machines do not know of one another:
  * requests that wait at gates after they were counted, and grants of a leader that was lost. With 0.7 the worst window of
- * docs/design/shifted-work.md had 0.97 of the bound, 1 at most in 60 seeds; other values are not measured.
+ * docs/design/shifted-work.md had 0.97 of the bound, 1 at most in 60 seeds.
  */
 const HANDED_OUT_PART = 0.7;
 
--- a/src/retry/repeat-room.ts
+++ b/src/retry/repeat-room.ts
@@ -55,12 +55,12 @@
  */
 const USED_RATIO_PART = 0.75;
 
-/** Part of the slack that is used, for the same reasons. Not measured alone. */
+/** Part of the slack that is used, for the same reasons. */
 const USED_SLACK_PART = 0.5;
 
 /**
  * Repeats kept back for requests of clients, for each of their first arrivals, and at most this part of the budget. One
- * repeat finishes such a request; of the calls that targets make, all of several have to succeed. Not measured.
+ * repeat finishes such a request; of the calls that targets make, all of several have to succeed.
  */
 const CLIENTS_RESERVE = 0.5;
 
--- a/src/retry/retry-budget.ts
+++ b/src/retry/retry-budget.ts
@@ -6,7 +6,7 @@
  * (service-retry-budget.ts).
  */
 
-/** Most retries that are saved up for a burst, and those at the start of a process. Not measured. */
+/** Most retries that are saved up for a burst, and those at the start of a process. */
 const DEFAULT_CAPACITY = 20;
 
 /** What a process asks before it sends a call again. */
--- a/src/retry/retry-policy.ts
+++ b/src/retry/retry-policy.ts
@@ -15,23 +15,22 @@
 
 /**
  * Most reroutes of one call, other than after refusals for overload. Each costs a message and the time of its way; fewer
- * end calls while two targets of a service are stopping. Not measured.
+ * end calls while two targets of a service are stopping.
  */
 export const MAX_REROUTES = 2;
 
-/** Least time left for another attempt, in milliseconds: one with less would only add load. Not measured. */
+/** Least time left for another attempt, in milliseconds: one with less would only add load. */
 export const MIN_RETRY_TIME_MS = 5;
 
 /**
  * Shortest hedge delay, in milliseconds: short latencies vary by large multiples, and hedging each of them would spend
- * the retry budget on answers that are about to come. Not measured: in the simulation no answer is lost without its caller
+ * the retry budget on answers that are about to come: in the simulation no answer is lost without its caller
  * being told.
  */
 export const MIN_HEDGE_DELAY_MS = 60;
 
 /**
  * Largest hedge delay as a part of the time left: a hedged request that starts later has too little time to be answered.
- * Not measured.
  */
 export const MAX_HEDGE_DELAY_PART = 0.7;
 
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -14,12 +14,12 @@
 import { chooseSubset } from './subset.js';
 import { chooseTarget } from './target-choice.js';
 
-/** Weight of one report in the mean of the limits: about the last five count. Not measured. */
+/** Weight of one report in the mean of the limits: about the last five count. */
 const LIMIT_WEIGHT = 0.2;
 
 /**
  * A node that said that it leaves is passed over for this long in milliseconds, whatever lists say: longer than lists lag
- * behind it. An incarnation that is back is another one. Not measured.
+ * behind it. An incarnation that is back is another one.
  */
 const LEAVING_MEMORY_MS = 60_000;
 
--- a/src/routing/endpoint-view.ts
+++ b/src/routing/endpoint-view.ts
@@ -8,15 +8,15 @@
 import { OutlierDetector } from './outlier-detector.js';
 import type { Candidate, ChoiceScale } from './target-choice.js';
 
-/** Weight of one answer in the latency ratio: about the last five count. Not measured. */
+/** Weight of one answer in the latency ratio: about the last five count. */
 const LATENCY_RATIO_WEIGHT = 0.2;
 
-/** A larger multiple counts as this one: a single answer is not to keep an endpoint out for long. Not measured. */
+/** A larger multiple counts as this one: a single answer is not to keep an endpoint out for long. */
 const MAX_LATENCY_RATIO = 20;
 
 /**
  * Without answers, an endpoint that was slow is taken for usual again with this time constant, in milliseconds: it gets few
- * calls, and one that has recovered is to get more. Not measured.
+ * calls, and one that has recovered is to get more.
  */
 const LATENCY_RATIO_FADE_MS = 3_000;
 
@@ -26,7 +26,7 @@
  */
 const LOAD_FADE_MS = 1_000;
 
-/** Part of its full load that an endpoint gets right after it appears: enough for it to warm up by. Not measured. */
+/** Part of its full load that an endpoint gets right after it appears: enough for it to warm up by. */
 const COLD_PART = 0.1;
 
 export class EndpointView implements Candidate {
--- a/src/routing/latency-baseline.ts
+++ b/src/routing/latency-baseline.ts
@@ -4,19 +4,19 @@
  */
 import { BoundedMap } from '../common/bounded-map.js';
 
-/** Weight of one answer in the usual latency: about the last twenty count. Not measured. */
+/** Weight of one answer in the usual latency: about the last twenty count. */
 const WEIGHT = 0.05;
 
-/** A larger multiple counts as this one: a few slow endpoints are not to become what is usual. Not measured. */
+/** A larger multiple counts as this one: a few slow endpoints are not to become what is usual. */
 const MAX_RATIO = 2;
 
-/** Classes that are remembered, a bound on memory; routes come and go with the configuration. Not measured. */
+/** Classes that are remembered, a bound on memory; routes come and go with the configuration. */
 const MAX_CLASSES = 1_000;
 
-/** Shorter latencies count as this one, in milliseconds, so that their ratios mean something. Not measured. */
+/** Shorter latencies count as this one, in milliseconds, so that their ratios mean something. */
 const MIN_LATENCY_MS = 1;
 
-/** Answers of a class before its usual latency is told: as many as its mean reaches back. Not measured. */
+/** Answers of a class before its usual latency is told: as many as its mean reaches back. */
 const MIN_ANSWERS = 20;
 
 interface UsualLatency {
--- a/src/routing/nested-routes.ts
+++ b/src/routing/nested-routes.ts
@@ -5,13 +5,13 @@
  */
 import { BoundedMap } from '../common/bounded-map.js';
 
-/** Weight of one answer: what the last ten or so say counts. Not measured. */
+/** Weight of one answer: what the last ten or so say counts. */
 const WEIGHT = 0.1;
 
 /** Part of the latest answers above which they are believed. */
 const MAJORITY = 0.5;
 
-/** Routes that are remembered, a bound on memory; routes come and go with the configuration. Not measured. */
+/** Routes that are remembered, a bound on memory; routes come and go with the configuration. */
 const MAX_ROUTES = 1_000;
 
 export class NestedRoutes {
--- a/src/routing/origin-tracker.ts
+++ b/src/routing/origin-tracker.ts
@@ -6,13 +6,13 @@
  * Owns the counts of one gate. Relies on clients that are spread over the machines of all services.
  */
 
-/** Calls of a route at which its counts are halved, so that old calls fade. Not measured. */
+/** Calls of a route at which its counts are halved, so that old calls fade. */
 const MAX_CALLS = 2_000;
 
-/** Part of the calls expected from its machines below which a service is no origin: strays. Not measured. */
+/** Part of the calls expected from its machines below which a service is no origin: strays. */
 const MIN_PART_OF_EXPECTED = 0.1;
 
-/** Routes with no more than this part of the services as origins are called by targets. Not measured. */
+/** Routes with no more than this part of the services as origins are called by targets. */
 const MAX_ORIGIN_PART = 0.5;
 
 /** With fewer services nothing can be concluded: the only one has all calls. */
--- a/src/routing/outlier-detector.ts
+++ b/src/routing/outlier-detector.ts
@@ -3,13 +3,13 @@
  * failures of one endpoint. How many endpoints may be out at once is decided where one is chosen (target-choice.ts).
  */
 
-/** Failures in a row that eject: one or two are a lost connection or a restart. Not measured. */
+/** Failures in a row that eject: one or two are a lost connection or a restart. */
 const CONSECUTIVE_FAILURES = 3;
 
-/** Length of the first ejection, in milliseconds; each further one is twice as long. Not measured. */
+/** Length of the first ejection, in milliseconds; each further one is twice as long. */
 const BASE_EJECTION_MS = 1_000;
 
-/** Longest ejection, in milliseconds: an endpoint that has recovered is found by then. Not measured. */
+/** Longest ejection, in milliseconds: an endpoint that has recovered is found by then. */
 const MAX_EJECTION_MS = 30_000;
 
 export class OutlierDetector {
--- a/src/routing/subset.ts
+++ b/src/routing/subset.ts
@@ -8,7 +8,7 @@
 
 /**
  * Endpoints of one service that a caller holds connections to. More of them mean more connections a process (at most 960
- * links at 120 services, by reckoning), fewer leave less choice. The figure is not measured against others.
+ * links at 120 services, by reckoning), fewer leave less choice.
  */
 const SUBSET_SIZE = 8;
 
--- a/src/routing/target-choice.ts
+++ b/src/routing/target-choice.ts
@@ -15,7 +15,6 @@
 
 /**
  * Largest part of the candidates that is passed over as ejected: where most fail, the rest would have all of the load.
- * Not measured.
  */
 const MAX_EJECTED_PART = 0.5;
 
@@ -28,7 +27,7 @@
 
 /**
  * Latency ratio from which an endpoint of the zone is slow: without such a bound calls stayed at targets 12 times slower
- * than usual, since those had room. The figure itself is not measured: no target is so slow in the simulated overloads.
+ * than usual, since those had room.: no target is so slow in the simulated overloads.
  */
 const SLOW_LATENCY_RATIO = 1.6;
 
@@ -42,7 +41,7 @@
 
 /**
  * Random endpoints compared in the zone. With one, 0.25 of the attempts cross zones in place of 0.20 (docs/design/routing.md,
- * deep search graph); more than two is not measured.
+ * deep search graph).
  */
 const LOCAL_CHOICES = 2;
 
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -3,11 +3,11 @@
 import { nameSchema } from '../policy/resource-schema.js';
 import { commonShape, listenSchema, originSchema, quotaRuleSchema } from './shared-settings.js';
 
-/** Shortest time without a leader before an election, in milliseconds. Not measured. */
+/** Shortest time without a leader before an election, in milliseconds. */
 const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
-/** Lease of a member, in milliseconds: five heartbeats at their default interval. Not measured. */
+/** Lease of a member, in milliseconds: five heartbeats at their default interval. */
 const DEFAULT_MEMBER_LEASE_MS = 10_000;
-/** Time between two readings of the platform's list of machines, in milliseconds. Not measured. */
+/** Time between two readings of the platform's list of machines, in milliseconds. */
 const DEFAULT_PLATFORM_LIST_INTERVAL_MS = 2_000;
 
 const tokenHashSchema = z
--- a/src/settings/shared-settings.ts
+++ b/src/settings/shared-settings.ts
@@ -10,17 +10,17 @@
 
 /** Highest port number of TCP. */
 const MAX_PORT = 65_535;
-/** Shortest link token, in characters. Not measured: long enough not to be guessed. */
+/** Shortest link token, in characters: long enough not to be guessed. */
 const MIN_TOKEN_LENGTH = 16;
-/** Time between turning unready and taking no more connections, in milliseconds. Not measured. */
+/** Time between turning unready and taking no more connections, in milliseconds. */
 const DEFAULT_DRAIN_MS = 2_000;
-/** Longest time for calls under way to finish, in milliseconds. Not measured. */
+/** Longest time for calls under way to finish, in milliseconds. */
 const DEFAULT_STOP_TIMEOUT_MS = 60_000;
-/** Most requests under way in one process. Not measured: a guard of memory far above what one process serves. */
+/** Most requests under way in one process: a guard of memory far above what one process serves. */
 const DEFAULT_MAX_IN_FLIGHT = 10_000;
-/** Longest request body, in bytes. Not measured. */
+/** Longest request body, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
-/** Time between two heartbeats to control, in milliseconds. Not measured: a fifth of the default lease of a member. */
+/** Time between two heartbeats to control, in milliseconds: a fifth of the default lease of a member. */
 const DEFAULT_HEARTBEAT_INTERVAL_MS = 2_000;
 
 /** Origin of a process: an IP address, as names would have to be looked up at every start. */
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -3,11 +3,11 @@
 import { nameSchema } from '../policy/resource-schema.js';
 import { followerShape, listenSchema, originSchema, quotaRuleSchema } from './shared-settings.js';
 
-/** Repeats at a service as a part of its first arrivals: a usual bound of retry budgets. Not measured. */
+/** Repeats at a service as a part of its first arrivals: a usual bound of retry budgets. */
 const DEFAULT_REPEAT_RATIO = 0.2;
-/** Repeats besides, over all targets of a service, for services with few calls. Not measured. */
+/** Repeats besides, over all targets of a service, for services with few calls. */
 const DEFAULT_REPEAT_SLACK = 50;
-/** Time over which a service's arrivals are counted, in milliseconds. Not measured. */
+/** Time over which a service's arrivals are counted, in milliseconds. */
 const DEFAULT_REPEAT_WINDOW_MS = 10_000;
 /** The bound on repeats at a service where settings give none. */
 export const DEFAULT_RETRY_BOUND = {
@@ -15,7 +15,7 @@
   slack: DEFAULT_REPEAT_SLACK,
   windowMs: DEFAULT_REPEAT_WINDOW_MS,
 };
-/** Time after its last report for which a target is used, in milliseconds. Not measured. */
+/** Time after its last report for which a target is used, in milliseconds. */
 const DEFAULT_TARGET_SILENT_MS = 6_000;
 
 /** Settings of `shoredoor sidecar`. */
--- a/src/sync/sync-protocol.ts
+++ b/src/sync/sync-protocol.ts
@@ -10,7 +10,7 @@
 export const HEARTBEAT_PATH = '/internal/heartbeat';
 export const SYNC_PATH = '/internal/sync';
 
-/** Longest time a replica holds a sync request, in milliseconds. Not measured. */
+/** Longest time a replica holds a sync request, in milliseconds. */
 export const SYNC_HOLD_MS = 10_000;
 
 /** The revision of a process that has just started and has none. */
