--- a/lab/simulator/sidecars/deep-search-graph.ts
+++ b/lab/simulator/sidecars/deep-search-graph.ts
@@ -3,8 +3,11 @@
  * five lookups, two services further down, at the service that urgent requests need as well.
  */
 import { simRoute, type CallGraph } from './call-graph.js';
+import { nestedSearchRoutes } from './nested-search-routes.js';
 
 const NO_CALLS = [] as const;
+/** Work of a lookup at the least service, in milliseconds. */
+const LOOKUP_MS = 64;
 
 export const DEEP_SEARCH_GRAPH: CallGraph = {
   services: [
@@ -62,41 +65,6 @@
       perSecond: 55,
       nested: NO_CALLS,
     }),
-    simRoute({
-      name: 'provenance-check',
-      service: 'registry',
-      rank: 1,
-      repeatable: true,
-      objectiveMs: 1_200,
-      timeoutMs: 3_000,
-      deadlineMs: 3_000,
-      workMs: 15,
-      perSecond: 0,
-      nested: [{ route: 'bundle-manifest', times: 1 }],
-    }),
-    simRoute({
-      name: 'bundle-manifest',
-      service: 'bundler',
-      rank: 1,
-      repeatable: true,
-      objectiveMs: 1_200,
-      timeoutMs: 2_500,
-      deadlineMs: 2_500,
-      workMs: 15,
-      perSecond: 0,
-      nested: [{ route: 'symbol-lookup', times: 5 }],
-    }),
-    simRoute({
-      name: 'symbol-lookup',
-      service: 'ranker',
-      rank: 1,
-      repeatable: true,
-      objectiveMs: 300,
-      timeoutMs: 700,
-      deadlineMs: 700,
-      workMs: 64,
-      perSecond: 0,
-      nested: NO_CALLS,
-    }),
+    ...nestedSearchRoutes(LOOKUP_MS),
   ],
 };
--- a/lab/simulator/sidecars/large-search-graph.ts
+++ b/lab/simulator/sidecars/large-search-graph.ts
@@ -4,8 +4,11 @@
  * wait, and clients send each machine about twenty requests a second of four kinds.
  */
 import { simRoute, type CallGraph } from './call-graph.js';
+import { nestedSearchRoutes } from './nested-search-routes.js';
 
 const NO_CALLS = [] as const;
+/** Work of a lookup at the least service, in milliseconds. */
+const LOOKUP_MS = 140;
 
 export const LARGE_SEARCH_GRAPH: CallGraph = {
   zones: 6,
@@ -64,41 +67,6 @@
       perSecond: 332,
       nested: NO_CALLS,
     }),
-    simRoute({
-      name: 'provenance-check',
-      service: 'registry',
-      rank: 1,
-      repeatable: true,
-      objectiveMs: 1_200,
-      timeoutMs: 3_000,
-      deadlineMs: 3_000,
-      workMs: 15,
-      perSecond: 0,
-      nested: [{ route: 'bundle-manifest', times: 1 }],
-    }),
-    simRoute({
-      name: 'bundle-manifest',
-      service: 'bundler',
-      rank: 1,
-      repeatable: true,
-      objectiveMs: 1_200,
-      timeoutMs: 2_500,
-      deadlineMs: 2_500,
-      workMs: 15,
-      perSecond: 0,
-      nested: [{ route: 'symbol-lookup', times: 5 }],
-    }),
-    simRoute({
-      name: 'symbol-lookup',
-      service: 'ranker',
-      rank: 1,
-      repeatable: true,
-      objectiveMs: 300,
-      timeoutMs: 700,
-      deadlineMs: 700,
-      workMs: 140,
-      perSecond: 0,
-      nested: NO_CALLS,
-    }),
+    ...nestedSearchRoutes(LOOKUP_MS),
   ],
 };
--- /dev/null
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -0,0 +1,55 @@
+/** What the calls of one simulated gate share: the product's own decisions, before a target that neither moves nor crashes. */
+import { AdmissionController } from '../../../src/admission/admission-controller.js';
+import { CongestionLevel } from '../../../src/admission/congestion-level.js';
+import { KindImpact } from '../../../src/admission/kind-impact.js';
+import { KindLimiter } from '../../../src/admission/kind-limiter.js';
+import { RunOutcomes } from '../../../src/admission/run-outcomes.js';
+import type { SlotLimiter } from '../../../src/admission/slot-limiter.js';
+import type { Clock } from '../../../src/common/clock.js';
+import type { RandomSource } from '../../../src/common/random.js';
+import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
+import { GATE_SHARING, QUEUE_WAIT_MS } from '../../../src/gate/gate-policy.js';
+import type { GateServices } from '../../../src/gate/inbound-services.js';
+import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
+import type { RepeatedRuns } from '../../../src/retry/repeated-runs.js';
+import type { ServiceRetryBudget } from '../../../src/retry/service-retry-budget.js';
+
+/** What a gate shares with the other parts of its machine. */
+export interface SimGateParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly limiter: SlotLimiter;
+  /** Of the calls that the target makes. */
+  readonly downstream: CongestionLevel;
+  readonly retryBudget: ServiceRetryBudget;
+  readonly repeatedRuns: RepeatedRuns;
+}
+
+export function simGateServices(parts: SimGateParts): GateServices {
+  const { clock, random, limiter, downstream, retryBudget, repeatedRuns } = parts;
+  return {
+    clock,
+    admission: new AdmissionController({
+      clock,
+      random,
+      limiter,
+      ...GATE_SHARING,
+      queueWaitMs: () => QUEUE_WAIT_MS,
+    }),
+    claims: NO_CLAIMS,
+    isLeaving: () => false,
+    queueLevels: Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock)),
+    downstreamLevel: () => downstream.current(),
+    kindImpact: new KindImpact(clock),
+    kindLimiter: new KindLimiter(clock),
+    runOutcomes: new RunOutcomes(),
+    retryBudget,
+    repeatedRuns,
+    onMisdirected: () => undefined,
+    crashGuard: {
+      isQuarantined: () => false,
+      begin: () => undefined,
+      isLikelyCause: () => false,
+    },
+  };
+}
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -3,20 +3,10 @@
  * ingress and its gate. Links between machines take a fixed time and lose nothing.
  */
 import { clientRetryAfterSeconds } from '../../../src/call/retry-after.js';
-import { AdmissionController } from '../../../src/admission/admission-controller.js';
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
-import { KindImpact } from '../../../src/admission/kind-impact.js';
-import { KindLimiter } from '../../../src/admission/kind-limiter.js';
-import { RunOutcomes } from '../../../src/admission/run-outcomes.js';
 import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
 import { GateCallRules } from '../../../src/gate/gate-call-rules.js';
-import {
-  gateContext,
-  gateOptions,
-  GATE_SHARING,
-  QUEUE_WAIT_MS,
-  SLOT_FRACTION,
-} from '../../../src/gate/gate-policy.js';
+import { gateContext, gateOptions, SLOT_FRACTION } from '../../../src/gate/gate-policy.js';
 import { InboundCall } from '../../../src/gate/inbound-call.js';
 import type { GateServices } from '../../../src/gate/inbound-services.js';
 import { ClientWaits } from '../../../src/ingress/client-waits.js';
@@ -30,10 +20,8 @@
 import type { AttemptEnvelope } from '../../../src/call/transport.js';
 import type { RandomSource } from '../../../src/common/random.js';
 import type { VirtualClock } from '../../../src/common/virtual-clock.js';
-import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
 import type { CallFrameContext } from '../../../src/link/link-frames.js';
 import type { Route } from '../../../src/policy/route-table.js';
-import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
 import type { EndpointRecord } from '../../../src/call/endpoint.js';
 import { NestedRoutes } from '../../../src/routing/nested-routes.js';
 import { OriginTracker } from '../../../src/routing/origin-tracker.js';
@@ -45,6 +33,7 @@
 import type { ArrivalLedger } from './arrival-ledger.js';
 import type { SimRoute, SimService } from './call-graph.js';
 import { RequestLineage } from './request-lineage.js';
+import { simGateServices } from './sim-gate-services.js';
 import { SimPeerTransport } from './sim-peer-transport.js';
 import { SimTargetTransport, type TargetFaults } from './sim-target-transport.js';
 import { SimTargetWork } from './sim-target-work.js';
@@ -132,7 +121,14 @@
       () => this.directory.machines,
       () => callingPart(service.targets),
     );
-    this.services = this.createServices();
+    this.services = simGateServices({
+      clock,
+      random,
+      limiter: this.limiter,
+      downstream: this.downstream,
+      retryBudget: this.retryBudget,
+      repeatedRuns: this.repeatedRuns,
+    });
     this.router = new OutboundRouter({
       clock,
       random,
@@ -225,36 +221,6 @@
     return call;
   }
 
-  private createServices(): GateServices {
-    const { clock, random } = this.world;
-    return {
-      clock,
-      admission: new AdmissionController({
-        clock,
-        random,
-        limiter: this.limiter,
-        ...GATE_SHARING,
-        queueWaitMs: () => QUEUE_WAIT_MS,
-      }),
-      claims: NO_CLAIMS,
-      isLeaving: () => false,
-      queueLevels: Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock)),
-      downstreamLevel: () => this.downstream.current(),
-      kindImpact: new KindImpact(clock),
-      kindLimiter: new KindLimiter(clock),
-      runOutcomes: new RunOutcomes(),
-      retryBudget: this.retryBudget,
-      repeatedRuns: this.repeatedRuns,
-      // Targets here neither move nor crash.
-      onMisdirected: () => undefined,
-      crashGuard: {
-        isQuarantined: () => false,
-        begin: () => undefined,
-        isLikelyCause: () => false,
-      },
-    };
-  }
-
   private learn(route: string, result: OutboundResult): void {
     const { nestedRoutes, downstream, retryBudget } = this;
     learnFromResult({ nestedRoutes, downstream, retryBudget }, route, result);
