--- a/src/admission/kind-limiter.ts
+++ b/src/admission/kind-limiter.ts
@@ -44,7 +44,7 @@
  * Part of a limit that is open to requests which can't be answered within their objective any more. Clients that were refused
  * come back while others come for the first time: all let in alike, half of what was answered was late.
  */
-const OPEN_TO_LATE_PART = 0.5;
+const MISSED_OBJECTIVE_PART = 0.5;
 /** Requests of a kind that are let in however long they take: without any, nothing would be learned. */
 const MIN_LIMIT = 2;
 /**
@@ -77,10 +77,10 @@
   /** So congested that requests of this kind are limited. */
   readonly isCongested: boolean;
   /** Whether it can't be answered within its objective any more. */
-  readonly isLateAnyway: boolean;
+  readonly missesObjective: boolean;
 }
 
-const UNKNOWN: EntryState = { isCalm: false, isCongested: false, isLateAnyway: false };
+const UNKNOWN: EntryState = { isCalm: false, isCongested: false, missesObjective: false };
 
 /** What the limit that was reached stems from. */
 export type KindLimitCause =
@@ -133,8 +133,8 @@
     const now = this.clock.now();
     if (entry.isCalm) growWithoutAnswer(state, now);
     state.askedAt = now;
-    const openPart = entry.isLateAnyway ? OPEN_TO_LATE_PART : 1;
-    if (state.inFlight >= openPart * state.limit) return limitReached(state, entry);
+    const limit = entry.missesObjective ? MISSED_OBJECTIVE_PART * state.limit : state.limit;
+    if (state.inFlight >= limit) return limitReached(state, limit, entry);
     state.inFlight += 1;
     return ENTERED;
   }
@@ -192,8 +192,12 @@
   }
 }
 
-function limitReached(state: KindState, { isCongested }: EntryState): KindLimitReached {
-  const limited = { type: 'limit-reached', limit: state.limit, underWay: state.inFlight } as const;
+function limitReached(
+  state: KindState,
+  limit: number,
+  { isCongested }: EntryState,
+): KindLimitReached {
+  const limited = { type: 'limit-reached', limit, underWay: state.inFlight } as const;
   if (state.isStarting) return { ...limited, cause: 'first-limit' };
   return { ...limited, cause: isCongested ? 'congested' : 'recovering' };
 }
--- a/src/gate/kind-tolerance.ts
+++ b/src/gate/kind-tolerance.ts
@@ -47,7 +47,7 @@
  * Whether a request can't be answered within its objective any more, since its client has used up too much of it.
  * @param usualMs time that its kind takes while nothing is congested, in milliseconds; undefined where that is not known
  */
-export function isLateAnyway(context: CallContext, usualMs: number | undefined): boolean {
+export function missesObjective(context: CallContext, usualMs: number | undefined): boolean {
   const { clientWaitedMs = 0, objectiveMs = Infinity } = context;
   return clientWaitedMs > 0 && clientWaitedMs + (usualMs ?? 0) > objectiveMs;
 }
--- a/src/gate/kind-use.ts
+++ b/src/gate/kind-use.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../common/clock.js';
 import type { CallContext } from '../call/call-context.js';
 import type { KindRefusal } from './kind-refusal.js';
-import { isAboveTolerated, isLateAnyway, maxTimeInTargetMs } from './kind-tolerance.js';
+import { isAboveTolerated, missesObjective, maxTimeInTargetMs } from './kind-tolerance.js';
 import { HttpStatus } from '../common/http-status.js';
 
 /** What the gate keeps of all kinds. */
@@ -45,7 +45,7 @@
     const entry = kindLimiter.enter(this.context.kind, {
       isCalm: isCalm(congestionLevel),
       isCongested: this.isCongested(congestionLevel),
-      isLateAnyway: isLateAnyway(this.context, usualMs),
+      missesObjective: missesObjective(this.context, usualMs),
     });
     this.isCounted = entry.type === 'entered';
     return entry.type === 'entered' ? undefined : { ...entry, congestionLevel };
--- a/test/ingress/client-waits.test.ts
+++ b/test/ingress/client-waits.test.ts
@@ -67,8 +67,8 @@
 describe('the limit of a kind, for requests that are late anyway', () => {
   it('keeps a part for those that can still be in time', () => {
     const limiter = new KindLimiter(new VirtualClock());
-    const enter = (isLateAnyway: boolean): string =>
-      limiter.enter(ROUTE, { isCalm: false, isCongested: true, isLateAnyway }).type;
+    const enter = (missesObjective: boolean): string =>
+      limiter.enter(ROUTE, { isCalm: false, isCongested: true, missesObjective }).type;
     let late = 0;
     while (enter(true) === 'entered') late += 1;
     let inTime = 0;
