Log and measure the rate limits that targets announce

Cause of the change: neither logs nor metrics showed whether a process knows of a limit that a target announces in its answers, so the hypotheses of the incident could not be told apart. Change: the gate reads the announcement of each answer of its target, logs each change once, and exports the limit in force as shoredoor_target_rate_limit. Malformed values are logged. Nothing is limited yet. Ruled out: reading in the relay of the answer alone, since rejections and answers that are not relayed would be missed.

--- a/src/gate/gate-transport.ts
+++ b/src/gate/gate-transport.ts
@@ -1,10 +1,12 @@
 /** Sends one routed call from a sidecar to its target, and checks the head of the answer. */
+import type { IncomingHttpHeaders } from 'node:http';
 import type { CallContext } from '../call/call-context.js';
 import type { Attempt, AttemptListener, TargetTransport } from '../call/transport.js';
 import type { Clock } from '../common/clock.js';
 import type { IncomingLinkCall } from '../link/incoming-link-call.js';
 import type { TargetConnection } from '../membership/target-connection-pool.js';
 import { RelayHandler, type RelayPolicy } from '../http/relay-handler.js';
+import { readAnnouncement, type TargetAnnouncement } from '../http/target-announcement.js';
 import { detectAnswerFault, isFramed, type TargetHeaders } from '../http/target-headers.js';
 
 /** Shared by all calls of one sidecar to its target. */
@@ -16,6 +18,16 @@
    * none.
    */
   readonly target: () => TargetConnection | undefined;
+  /**
+   * Called with what the target announces in an answer.
+   * @param incarnation name of the incarnation that answered
+   * @param sentAt when the request was sent, in monotonic milliseconds
+   */
+  readonly onAnnouncement: (
+    incarnation: string,
+    sentAt: number,
+    announcement: TargetAnnouncement,
+  ) => void;
   /** Whether an answer without a declared length may be complete. */
   readonly allowsUnframed: boolean;
 }
@@ -52,6 +64,7 @@
     const { requestId } = this.context;
     const sentAt = clock.now();
     return {
+      onResponse: (status, headers) => this.onResponse(target, sentAt, status, headers),
       onAnswered: () => target?.responseTimes.recordDuration(clock.now() - sentAt),
       onUnanswered: () => target?.onUnanswered(clock.now() - sentAt),
       readHead: (status, headers) => ({
@@ -67,6 +80,19 @@
     };
   }
 
+  /** Only answers of the target itself count, whether or not they are relayed. */
+  private onResponse(
+    target: TargetConnection | undefined,
+    sentAt: number,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    const { names, onAnnouncement } = this.options;
+    const fault = detectAnswerFault(names, this.context.requestId, status, headers);
+    if (target === undefined || (fault !== undefined && fault !== 'not-executed')) return;
+    onAnnouncement(target.incarnation, sentAt, readAnnouncement(names, headers));
+  }
+
   private headers(instance: string): string[] {
     const { names, clock } = this.options;
     const { deadlineAt, answerMarginMs = 0 } = this.context;
--- a/src/http/relay-handler.ts
+++ b/src/http/relay-handler.ts
@@ -10,6 +10,8 @@
 
 /** The parts of relaying that differ between transports. */
 export interface RelayPolicy {
+  /** Called with the head of each response, also of those that are not relayed. */
+  onResponse?(status: number, headers: IncomingHttpHeaders): void;
   /** Converts the head of an answer for the {@link AttemptListener}. */
   readHead(status: number, headers: IncomingHttpHeaders): AnswerHead;
   /** Headers to add to the relayed answer. Called once, after `onHead` returned `relay`. */
@@ -69,7 +71,9 @@
     statusCode: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.isFinished || statusCode < 200) return;
+    if (statusCode < 200) return;
+    this.policy.onResponse?.(statusCode, headers);
+    if (this.isFinished) return;
     this.policy.onAnswered?.();
     const decision = this.listener.onHead(this.policy.readHead(statusCode, headers));
     if (decision === 'discard') {
--- a/src/http/target-headers.ts
+++ b/src/http/target-headers.ts
@@ -22,6 +22,10 @@
   readonly instanceId: string;
   /** In answers: the numbers of running requests, queued requests and slots, separated by commas. */
   readonly load: string;
+  /** In answers: the requests a second that the target accepts from all callers together, as a decimal number. */
+  readonly rateLimit: string;
+  /** In answers: the target is shutting down and must get no more requests. */
+  readonly leaving: string;
   /** API key of the caller; not forwarded to targets. */
   readonly apiKey: string;
   /** In requests to targets: name of the group that the caller's API key belongs to. */
@@ -36,6 +40,8 @@
   notExecuted: 'x-request-rejected',
   instanceId: 'x-answering-instance',
   load: 'x-load',
+  rateLimit: 'x-rate-limit-per-second',
+  leaving: 'x-target-leaving',
   apiKey: 'x-api-key',
   group: 'x-caller-group',
 };
--- /dev/null
+++ b/src/membership/target-announcements.ts
@@ -0,0 +1,62 @@
+/**
+ * Tracks what the current incarnation of a target announces in its answers, and logs each change. Announcements of other
+ * incarnations are ignored; a successor starts without any.
+ */
+import { RateLimitTracker, type RateLimitChange } from '../admission/announced-rate-limit.js';
+import type { Logger, LogFields } from '../common/logger.js';
+import type { TargetAnnouncement } from '../http/target-announcement.js';
+import { incarnationName, isSameIncarnation, type Incarnation } from './incarnation.js';
+
+export class TargetAnnouncements {
+  private target: Incarnation | undefined;
+  /** Names of the incarnation: one without its start time, and one with it once it is known. */
+  private names = new Set<string>();
+  private tracker = new RateLimitTracker();
+
+  constructor(private readonly logger: Logger) {}
+
+  /** The limit of the target in requests a second; undefined if it has announced none. */
+  get rateLimitPerSecond(): number | undefined {
+    return this.tracker.perSecond;
+  }
+
+  /** Called when the target may be another incarnation. */
+  onTarget(target: Incarnation): void {
+    const isSame = this.target !== undefined && isSameIncarnation(this.target, target);
+    if (!isSame) {
+      this.names = new Set();
+      this.tracker = new RateLimitTracker();
+    }
+    this.target = target;
+    this.names.add(incarnationName(target));
+  }
+
+  /**
+   * Records the head of an answer.
+   * @param incarnation name of the incarnation that answered
+   * @param sentAt when the request was sent, in monotonic milliseconds
+   */
+  onAnswer(incarnation: string, sentAt: number, { rateLimit }: TargetAnnouncement): void {
+    if (!this.names.has(incarnation)) return;
+    const change = this.tracker.onAnswer(rateLimit, sentAt);
+    if (change !== undefined) this.log(change);
+  }
+
+  private log(change: RateLimitChange): void {
+    const { type, ...limits } = change;
+    const fields: LogFields = { ...limits, instance: this.target?.instance };
+    switch (type) {
+      case 'announced':
+        this.logger.info('The target announced a rate limit.', fields);
+        return;
+      case 'changed':
+        this.logger.info('The target changed its rate limit.', fields);
+        return;
+      case 'lifted':
+        this.logger.info('The target lifted its rate limit.', fields);
+        return;
+      case 'malformed':
+        this.logger.warn('The target announced a malformed rate limit.', fields);
+    }
+  }
+}
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -35,6 +35,8 @@
       clock,
       names: headers,
       target: () => instancePool.getConnection(lease.current),
+      onAnnouncement: (incarnation, sentAt, announcement) =>
+        parts.announcements.onAnswer(incarnation, sentAt, announcement),
       allowsUnframed: settings.unframedAnswers === 'whole',
     },
     stats: parts.inboundStats,
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -17,6 +17,7 @@
 import { GATE_SHARING, QUEUE_WAIT_MS, USABLE_SLOT_FRACTION } from '../gate/gate-policy.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { LinkPool } from '../link/link-pool.js';
+import { TargetAnnouncements } from '../membership/target-announcements.js';
 import { TargetConnectionPool } from '../membership/target-connection-pool.js';
 import { refusesConnections } from '../membership/port-probe.js';
 import { TargetLease } from '../membership/target-lease.js';
@@ -67,6 +68,7 @@
 interface TargetParts {
   readonly lease: TargetLease;
   readonly target: SidecarTarget;
+  readonly announcements: TargetAnnouncements;
   readonly instancePool: TargetConnectionPool;
   readonly crashGuard: CrashGuard;
 }
@@ -160,7 +162,13 @@
     onTargetCrash: (instance) => lease.onConnectionRefused(instance),
     onUpdate: () => getParts().follower.announceChange(),
   });
-  return { lease, target, instancePool: new TargetConnectionPool(clock), crashGuard };
+  return {
+    lease,
+    target,
+    announcements: new TargetAnnouncements(logger.part('target')),
+    instancePool: new TargetConnectionPool(clock),
+    crashGuard,
+  };
 }
 
 function createGateParts(base: ProcessParts, getParts: PartsGetter): GateParts {
--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -9,6 +9,7 @@
 import { startAdminServer } from '../observe/admin-server.js';
 import { createNodeMetrics } from '../observe/node-metrics.js';
 import { registerQuarantineMetrics } from '../observe/quarantine-metrics.js';
+import { registerRateLimitMetrics } from '../observe/rate-limit-metrics.js';
 import { registerRetryMetrics } from '../observe/retry-metrics.js';
 import { followerReadiness, tableOf } from './follower-setup.js';
 import { createGate } from './sidecar-gate.js';
@@ -63,9 +64,18 @@
 }
 
 function createMetrics(parts: SidecarParts): Registry {
-  const { inboundStats, outboundStats, admission, follower, retryBudget, crashGuard } = parts;
+  const {
+    inboundStats,
+    outboundStats,
+    admission,
+    follower,
+    retryBudget,
+    crashGuard,
+    announcements,
+  } = parts;
   const registry = createNodeMetrics(inboundStats, outboundStats, admission, follower);
   registerRetryMetrics(registry, retryBudget);
+  registerRateLimitMetrics(registry, () => announcements.rateLimitPerSecond);
   registerQuarantineMetrics(registry, {
     crashes: () => crashGuard.crashes,
     quarantines: () => tableOf(follower).quarantineCount,
--- a/src/programs/sidecar-target.ts
+++ b/src/programs/sidecar-target.ts
@@ -6,6 +6,7 @@
 import type { Follower } from '../follower/follower.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { incarnationName, isSameIncarnation, type Incarnation } from '../membership/incarnation.js';
+import type { TargetAnnouncements } from '../membership/target-announcements.js';
 import type { TargetConnectionPool } from '../membership/target-connection-pool.js';
 import type { TargetLease, TargetReport } from '../membership/target-lease.js';
 import { probeTarget } from '../membership/target-probe.js';
@@ -22,6 +23,7 @@
   readonly follower: Follower;
   readonly limiter: SlotLimiter;
   readonly admission: AdmissionController;
+  readonly announcements: TargetAnnouncements;
   readonly instancePool: TargetConnectionPool;
   readonly crashGuard: CrashGuard;
   readonly retryBudget: ServiceRetryBudget;
@@ -51,8 +53,9 @@
 
   /** Called when the target, its state or its slots may have changed. */
   onChanged(): void {
-    const { lease, follower, admission, crashGuard } = this.getParts();
+    const { lease, follower, admission, crashGuard, announcements } = this.getParts();
     const { current } = lease;
+    if (current !== undefined) announcements.onTarget(current);
     crashGuard.watch.onTarget(current);
     const isReplaced = !isSameTarget(current, this.announcedTarget);
     if (isReplaced) this.onTargetReplaced(current);
--- a/test/pins/refusals.test.ts
+++ b/test/pins/refusals.test.ts
@@ -101,6 +101,8 @@
       notExecuted: 'x-request-rejected',
       instanceId: 'x-answering-instance',
       load: 'x-load',
+      rateLimit: 'x-rate-limit-per-second',
+      leaving: 'x-target-leaving',
       apiKey: 'x-api-key',
       group: 'x-caller-group',
     };
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -4,7 +4,7 @@
 import { PLATFORM_DECLARATION_CODEC } from '../../platform/declaration-codec.js';
 
 const PLATFORM_NAMES =
-  /x-response-signature|x-not-executed|x-expected-instance|x-deadline-milliseconds|x-calling-service|weighted_services|latency_objective|call_sequence|cold_remaining|configuration\.put|x-tenant|api_keys|rate_per_s|allow_anonymous/i;
+  /x-response-signature|x-not-executed|x-expected-instance|x-deadline-milliseconds|x-calling-service|weighted_services|latency_objective|call_sequence|cold_remaining|configuration\.put|x-tenant|api_keys|rate_per_s|allow_anonymous|server-limit|server-leaving/i;
 const MAX_CODE_RATIO = 0.1;
 
 function sources(folder: string): string[] {
