Apply the rate limit of a target where all calls to it pass

What callers saw: nothing; the target that asked for relief got its full share (78 requests in 4 s where 31.4 are allowed, real sockets). Cause: no process read the limit that targets announce in their answers. Change: a token bucket in the admission controller of the process beside the target, the one place that clients' requests, calls of targets, retries, hedged requests and calls that have waited all pass. A call over the limit is refused at once as not run, counts as neither overload nor failure, and goes to another target without a retry. Its caller is told when to return, each caller at another time; what the bucket has left goes to urgent calls first. If all targets are at their limits, the request gets Retry-After from these limits. Why at the process beside the target: shares for each caller depend on their number and settle slowly; one bucket needs no agreement. Ruled out: waiting at the gate until the limit has room, since waits would be taken for congestion by callers and gates above.

--- a/lab/simulator/sidecars/sim-gate-services.ts
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -6,6 +6,7 @@
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { KindImpact } from '../../../src/admission/kind-impact.js';
 import { KindLimiter } from '../../../src/admission/kind-limiter.js';
+import { TargetRateLimiter } from '../../../src/admission/target-rate-limiter.js';
 import { KindCircuitBreaker } from '../../../src/admission/kind-circuit-breaker.js';
 import type { SlotLimiter } from '../../../src/admission/slot-limiter.js';
 import type { Clock } from '../../../src/common/clock.js';
@@ -36,6 +37,7 @@
       clock,
       random,
       limiter,
+      rateLimiter: new TargetRateLimiter(clock),
       ...GATE_SHARING,
       queueWaitMs: () => QUEUE_WAIT_MS,
     }),
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -219,11 +219,10 @@
         const reason = result.type === 'broken' ? 'broken-answer' : result.refusal.reason;
         answer(0, call.takeOutcome(verdict, reason));
       },
-      new GateCallHooks(
-        this.services,
-        context,
-        createGateCallOptions(frame, isNested, this.origins.isPresumedNested(frame.kind)),
-      ),
+      new GateCallHooks(this.services, context, {
+        ...createGateCallOptions(frame, isNested, this.origins.isPresumedNested(frame.kind)),
+        caller,
+      }),
     );
     transport.onRelayed = (status) => answer(status, call.takeOutcome('ran', undefined));
     call.start();
--- a/lab/simulator/sim-target.ts
+++ b/lab/simulator/sim-target.ts
@@ -7,6 +7,8 @@
 import type { ConcurrencyLimiter } from '../../src/admission/concurrency-limiter.js';
 import { FixedLimiter } from '../../src/admission/fixed-limiter.js';
 import { ProbeLimiter } from '../../src/admission/probe-limiter.js';
+import { callPriority } from '../../src/admission/call-priority.js';
+import { TargetRateLimiter } from '../../src/admission/target-rate-limiter.js';
 import { SHARING_ORDERS } from '../../src/admission/sharing-policy.js';
 import type { CallContext } from '../../src/call/call-context.js';
 import { NODE_CALL_HOOKS } from '../../src/gate/call-hooks.js';
@@ -217,6 +219,7 @@
       call.service,
       {
         trafficClass: `${call.service}/${context.kind}/${context.group}`,
+        priority: callPriority({ importance: context.importance, isNested: true }),
         repeatable: table.isRepeatable(call.service, call.method, call.path),
         deadlineAt: context.deadlineAt,
         retryRatio: this.retryRatio(table.kind(context.kind)?.retryRatio),
@@ -258,6 +261,7 @@
       clock: this.clock,
       random: this.random,
       limiter: this.createLimiter(),
+      rateLimiter: new TargetRateLimiter(this.clock),
       order: SHARING_ORDERS[this.mechanisms.sharing],
       shareOf: (group) => this.world.table.shareOf(group),
       totalShare: () => this.world.table.totalShare,
--- a/src/admission/admission-controller.ts
+++ b/src/admission/admission-controller.ts
@@ -1,6 +1,6 @@
 /**
  * Admission control for one target: admits a call at once, queues it, or refuses it. The concurrency limiter sets how many
- * calls may be in flight, `queue-wait.ts` how long and how many calls may wait, and the sharing order which waiting call is
+ * calls may be in flight, the rate limiter how many a second, `queue-wait.ts` how long and how many calls may wait, and the sharing order which waiting call is
  * admitted or refused next. Free of I/O: the clock and the random source are injected.
  */
 import type { Clock, Timer } from '../common/clock.js';
@@ -13,7 +13,10 @@
 import { DemandRatio } from './demand-ratio.js';
 import { decideWait, queueCapacity, waitTimeoutReason, type WaitRequest } from './queue-wait.js';
 import { WaitingCalls, type ShareClassState, type WaitingCall } from './waiting-calls.js';
+import { MS_PER_SECOND } from '../common/units.js';
 import { NO_RETRY_AFTER, notAdmittedSeconds } from '../call/retry-after.js';
+import type { CallPriority } from './call-priority.js';
+import type { CallerKey, TargetRateLimiter } from './target-rate-limiter.js';
 
 /** A call that requests admission. */
 export interface AdmissionRequest {
@@ -23,6 +26,8 @@
   readonly importance: Importance;
   /** Rank of the caller's group, 0 the most urgent; takes precedence over the importance. Default 0. */
   readonly groupRank?: number | undefined;
+  /** Priority under the rate limit of the target. */
+  readonly priority: CallPriority;
   /** Monotonic milliseconds. */
   readonly deadlineAt: number;
   /** Monotonic milliseconds until which the call may wait. Default: by {@link AdmissionOptions.queueWaitMs}. */
@@ -30,7 +35,7 @@
 }
 
 /** Why a call was refused. In each case the call has not run. */
-export type AdmissionRefusal = 'overload' | 'deadline' | 'leaving';
+export type AdmissionRefusal = 'overload' | 'deadline' | 'leaving' | 'target-rate-limit';
 
 /** Exactly one of the callbacks is called, possibly before {@link AdmissionController.offer} returns. */
 export interface AdmissionListener {
@@ -67,6 +72,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly limiter: ConcurrencyLimiter;
+  /** Limits the rate of admitted calls. A call that it refuses does not wait: another target may have room. */
+  readonly rateLimiter: TargetRateLimiter;
   readonly order: SharingOrder;
   /** Weight of a share class; its share is the weight divided by {@link AdmissionOptions.totalShare}. */
   readonly shareOf: (shareClass: string) => number;
@@ -140,9 +147,21 @@
     };
   }
 
+  /**
+   * Time after which a caller should send the next call of this priority, in milliseconds; 0 if it may at once.
+   * See {@link TargetRateLimiter.msUntilReturn}.
+   */
+  msUntilReturn(priority: CallPriority, caller: CallerKey): number {
+    return this.options.rateLimiter.msUntilReturn(priority, caller);
+  }
+
   /** Admits, queues or refuses a call; the decision is reported to the listener. */
   offer(request: AdmissionRequest, listener: AdmissionListener): PendingAdmission {
     const now = this.options.clock.now();
+    if (this.options.rateLimiter.msUntilPermit(request.priority) > 0) {
+      this.refuseForRate(request, listener);
+      return ALREADY_DECIDED;
+    }
     this.demandRatio.onOffered(now);
     if (request.deadlineAt <= now) {
       listener.onRefused('deadline', NO_RETRY_AFTER);
@@ -183,6 +202,11 @@
     }
   }
 
+  private refuseForRate({ priority }: AdmissionRequest, listener: AdmissionListener): void {
+    const waitMs = this.options.rateLimiter.onRefused(priority);
+    listener.onRefused('target-rate-limit', waitMs / MS_PER_SECOND);
+  }
+
   /** Refuses a call whose deadline passed while timers were delayed, for example in a suspended process. */
   private admitUnlessExpired(call: QueuedCall): void {
     if (call.request.deadlineAt <= this.options.clock.now()) {
@@ -244,6 +268,10 @@
   }
 
   private admit(request: AdmissionRequest, listener: AdmissionListener): void {
+    if (!this.options.rateLimiter.tryAcquire(request.priority)) {
+      this.refuseForRate(request, listener);
+      return;
+    }
     const startedAt = this.options.clock.now();
     this.inFlight += 1;
     this.demandRatio.onAdmitted();
--- a/src/call/outcome.ts
+++ b/src/call/outcome.ts
@@ -46,6 +46,11 @@
   readonly rejectedByTarget?: boolean;
   /** Set if the call got no answer because of a crash, or because of a quarantine. Only from sidecars. */
   readonly crashNote?: CrashNote;
+  /**
+   * Time after which the caller should send the next call of this priority to this gate, in milliseconds. Set if the target
+   * announces a rate limit that leaves no room now.
+   */
+  readonly returnInMs?: number;
   /** Retries returned to the caller. */
   readonly unspentRetries: number;
   readonly load: LoadReport | undefined;
@@ -61,6 +66,7 @@
   let text = `verdict=${outcome.verdict}, unspent=${outcome.unspentRetries}`;
   if (outcome.refusal !== undefined) text += `, refusal=${outcome.refusal}`;
   if (outcome.overloaded) text += ', overloaded=1';
+  if (outcome.returnInMs !== undefined) text += `, return-in-ms=${Math.ceil(outcome.returnInMs)}`;
   if (outcome.load !== undefined) {
     text += `, in-flight=${outcome.load.inFlight}, limit=${outcome.load.limit}`;
   }
@@ -76,11 +82,13 @@
   const refusal = fields.get('refusal');
   const inFlight = numberField(fields, 'in-flight');
   const limit = numberField(fields, 'limit');
+  const returnInMs = numberField(fields, 'return-in-ms');
   return {
     verdict,
     refusal: isRefusalReason(refusal) ? refusal : undefined,
     overloaded: fields.get('overloaded') === '1',
     unspentRetries: numberField(fields, 'unspent') ?? 0,
+    ...(returnInMs !== undefined && { returnInMs }),
     load: inFlight !== undefined && limit !== undefined ? { inFlight, limit } : undefined,
   };
 }
--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -28,6 +28,8 @@
   | 'stale-configuration'
   /** The group has reached its rate limit. */
   | 'rate-limited'
+  /** The target, or each target of the service, has reached the rate limit that it announces. */
+  | 'target-rate-limit'
   /** The request is in quarantine because targets crash when they run it. */
   | 'quarantined';
 
@@ -71,6 +73,10 @@
     title: 'Configuration may be old',
   },
   'rate-limited': { status: HttpStatus.TooManyRequests, title: 'Rate limit of the group reached' },
+  'target-rate-limit': {
+    status: HttpStatus.ServiceUnavailable,
+    title: 'Rate limit of the target reached',
+  },
   quarantined: { status: HttpStatus.ServiceUnavailable, title: 'Request kept from targets' },
 };
 
--- a/src/call/retry-after.ts
+++ b/src/call/retry-after.ts
@@ -75,9 +75,17 @@
   return Math.max(MIN_RATE_LIMITED_SECONDS, msToNextPermit / MS_PER_SECOND);
 }
 
+/**
+ * For a call that was refused because all targets have reached their rate limits.
+ * @param msToNextPermit time until the first of them accepts a call
+ */
+export function targetRateLimitSeconds(msToNextPermit: number): number {
+  return Math.max(MIN_RATE_LIMITED_SECONDS, msToNextPermit / MS_PER_SECOND);
+}
+
 /**
  * For a client's request whose route is known: replaces the value of `refusal` by a fraction of the objective, except where
- * that value is exact or there is none.
+ * that value is exact, a minimum, or there is none.
  * @param objectiveMs latency objective of the route, in milliseconds
  */
 export function clientRetryAfterSeconds(
@@ -89,6 +97,10 @@
     return NO_RETRY_AFTER;
   }
   if (EXACT_REASONS.has(refusal.reason)) return refusal.retryAfterSeconds;
+  // Spread over as long again, so that the requests refused until then don't return together.
+  if (refusal.reason === 'target-rate-limit') {
+    return refusal.retryAfterSeconds * (1 + random.next());
+  }
   const factor = 1 - CLIENT_JITTER + 2 * CLIENT_JITTER * random.next();
   return (objectiveMs * CLIENT_OBJECTIVE_FRACTION * factor) / MS_PER_SECOND;
 }
--- a/src/edge/edge-context.ts
+++ b/src/edge/edge-context.ts
@@ -3,6 +3,7 @@
  * routes, `ingress/ingress-context.ts`.
  */
 import type { Group, RequestKind } from '../policy/policy-table.js';
+import { callPriority } from '../admission/call-priority.js';
 import type { CallContext } from '../call/call-context.js';
 import type { OutboundRequest } from '../outbound/outbound-request.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
@@ -37,6 +38,7 @@
 ): OutboundRequest {
   return {
     trafficClass: `${kind.name}/${context.group}`,
+    priority: callPriority({ importance: context.importance, isNested: false }),
     repeatable: kind.repeatable,
     deadlineAt: context.deadlineAt,
     retryRatio: kind.retryRatio,
--- a/src/gate/call-admission.ts
+++ b/src/gate/call-admission.ts
@@ -12,8 +12,8 @@
  * 3. Limit by kind: before the queue, so that a call is not refused after it has already waited.
  * 4. Retry budget: after the checks above, so that repeats that they refuse are not charged. A
  *    charged repeat is refunded if it is never sent to the target.
- * 5. Admission controller: a slot of the target, at once or after a wait. From here on the call
- *    holds a permit, and its deadline timer runs.
+ * 5. Admission controller: the rate limit that the target announces, then a slot of the target, at
+ *    once or after a wait. From here on the call holds a permit, and its deadline timer runs.
  * 6. Idempotency key: last, because a claimed key means that its call may have run. Only a call
  *    that is about to be sent claims one.
  */
@@ -22,6 +22,7 @@
   AdmissionRefusal,
   PendingAdmission,
 } from '../admission/admission-controller.js';
+import { callPriority } from '../admission/call-priority.js';
 import type { SampleOutcome } from '../admission/concurrency-limiter.js';
 import type { CallContext } from '../call/call-context.js';
 import type { ClaimDecision, ClaimHandle } from '../dedup/claim.js';
@@ -127,8 +128,9 @@
 
   private requestPermit(): void {
     const { group: shareClass, groupRank, kind, importance, deadlineAt, waitUntil } = this.context;
+    const priority = callPriority({ isNested: this.hooks.isNested, groupRank, importance });
     this.pending = this.services.admission.offer(
-      { shareClass, groupRank, kind, importance, deadlineAt, waitUntil },
+      { shareClass, groupRank, priority, kind, importance, deadlineAt, waitUntil },
       {
         onAdmitted: (permit) => this.onAdmitted(permit),
         onRefused: (reason, retryAfterSeconds) => this.onNotAdmitted(reason, retryAfterSeconds),
@@ -137,7 +139,7 @@
   }
 
   private onNotAdmitted(reason: AdmissionRefusal, retryAfterSeconds: number): void {
-    if (reason !== 'leaving') this.hooks.onNotAdmitted();
+    if (reason !== 'leaving' && reason !== 'target-rate-limit') this.hooks.onNotAdmitted();
     this.listener.onRefused(notAdmittedRefusal(reason, retryAfterSeconds));
   }
 
--- a/src/gate/call-hooks.ts
+++ b/src/gate/call-hooks.ts
@@ -3,6 +3,7 @@
  * sidecar's gate implements them in `gate/gate-call-hooks.ts`; `shoredoor node` uses
  * {@link NODE_CALL_HOOKS}, which limit and track nothing.
  */
+import { ANY_CALLER, type CallerKey } from '../admission/target-rate-limiter.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { KindRefusal } from './kind-refusal.js';
@@ -11,6 +12,8 @@
 export interface CallHooks {
   /** Whether a target makes the call, and not a client. */
   readonly isNested: boolean;
+  /** The process that sent the call. */
+  readonly caller: CallerKey;
   /** Which repeats the retry budget of the target's service allows now. */
   readonly repeatRoom: AcceptedRepeats;
   /** Whether the target is expected to answer the call. */
@@ -59,6 +62,8 @@
  */
 export const NODE_CALL_HOOKS: CallHooks = {
   isNested: false,
+  // Callers can't be told apart: each has many connections.
+  caller: ANY_CALLER,
   repeatRoom: AcceptedRepeats.Runs,
   isTargetResponsive: () => true,
   acquireKindLimit: () => undefined,
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -2,6 +2,7 @@
  * The call hooks of a sidecar's gate: limit by kind, retry budget, crash detection, and the
  * congestion that is reported to the caller.
  */
+import { ANY_CALLER, type CallerKey } from '../admission/target-rate-limiter.js';
 import type { CongestionLevel } from '../admission/congestion-level.js';
 import { RunResult } from '../admission/kind-circuit-breaker.js';
 import { HttpStatus } from '../common/http-status.js';
@@ -25,6 +26,8 @@
    * them have been observed, and the work of their callers would be lost. Default: `isNested`.
    */
   readonly isPresumedNested?: boolean;
+  /** The process that sent the call. Default: {@link ANY_CALLER}. */
+  readonly caller?: CallerKey;
   /** Wait for admission above which the call reports overload, in milliseconds. */
   readonly congestedAfterMs: number;
 }
@@ -48,6 +51,10 @@
     return this.options.isNested;
   }
 
+  get caller(): CallerKey {
+    return this.options.caller ?? ANY_CALLER;
+  }
+
   get repeatRoom(): AcceptedRepeats {
     return this.retryBudget.room;
   }
--- a/src/gate/gate-refusals.ts
+++ b/src/gate/gate-refusals.ts
@@ -21,6 +21,7 @@
   overload: 'The target is at its limit.',
   deadline: 'The call could not have finished before its deadline.',
   leaving: 'The target is leaving.',
+  'target-rate-limit': 'The target accepts no more calls a second.',
 };
 
 /** The process accepts no more calls of this kind. */
@@ -61,7 +62,7 @@
 ): GateRefusal {
   const detail = NOT_ADMITTED_DETAILS[reason];
   const refusal: Refusal = { reason, verdict: 'not-run', retryAfterSeconds, detail };
-  return { refusal, isOverload: reason !== 'leaving' };
+  return { refusal, isOverload: reason === 'overload' || reason === 'deadline' };
 }
 
 /** The claim on the idempotency key was not granted. */
--- a/src/gate/gate-server.ts
+++ b/src/gate/gate-server.ts
@@ -93,7 +93,7 @@
       services,
       new GateTransport(transport, context, incoming),
       (result) => this.onResult(call, result),
-      new GateCallHooks(services, context, this.callOptions),
+      new GateCallHooks(services, context, { ...this.callOptions, caller: incoming.caller }),
     );
     this.call = call;
     incoming.takeOutcome = (): Outcome => call.takeOutcome('ran', undefined);
--- a/src/gate/inbound-call.ts
+++ b/src/gate/inbound-call.ts
@@ -62,7 +62,7 @@
   ) {
     this.allowance = new RetryAllowance(context.retries);
     this.nested = new NestedTime(services.clock);
-    this.outcomeBuilder = new OutcomeBuilder(services.admission, hooks, this.allowance);
+    this.outcomeBuilder = new OutcomeBuilder(context, services.admission, hooks, this.allowance);
     this.callAdmission = new CallAdmission(context, claimKey, services, hooks, {
       onAdmitted: (wasDelayed) => this.onAdmitted(wasDelayed),
       onReady: () => this.forward(),
--- a/src/gate/outcome-builder.ts
+++ b/src/gate/outcome-builder.ts
@@ -3,6 +3,8 @@
  * with the answer: overload, load of the target, and unspent retries.
  */
 import type { AdmissionController } from '../admission/admission-controller.js';
+import { callPriority } from '../admission/call-priority.js';
+import type { CallContext } from '../call/call-context.js';
 import type { CrashNote, LoadReport, Outcome } from '../call/outcome.js';
 import type { RefusalReason } from '../call/refusal.js';
 import type { Verdict } from '../common/verdict.js';
@@ -21,6 +23,7 @@
   crashNote: CrashNote | undefined;
 
   constructor(
+    private readonly context: CallContext,
     private readonly admission: AdmissionController,
     private readonly hooks: CallHooks,
     private readonly allowance: RetryAllowance,
@@ -29,6 +32,7 @@
   /** Builds the outcome and ends the retry allowance: no retry can be spent afterwards. */
   takeOutcome(verdict: Verdict, refusal: RefusalReason | undefined): Outcome {
     const congestion = this.hooks.congestion();
+    const returnInMs = this.msUntilReturn();
     return {
       verdict,
       refusal,
@@ -37,11 +41,19 @@
       ...(this.hooks.isNested && { nested: true }),
       ...(this.rejectedByTarget && { rejectedByTarget: true }),
       ...(this.crashNote !== undefined && { crashNote: this.crashNote }),
+      ...(returnInMs > 0 && { returnInMs }),
       unspentRetries: this.allowance.end(),
       load: this.loadReport(),
     };
   }
 
+  /** Time until the caller should send the next such call, in milliseconds; 0 if it may at once. */
+  private msUntilReturn(): number {
+    const { isNested, caller } = this.hooks;
+    const { groupRank, importance } = this.context;
+    return this.admission.msUntilReturn(callPriority({ isNested, groupRank, importance }), caller);
+  }
+
   private loadReport(): LoadReport {
     const { inFlight, waiting, limit } = this.admission.status();
     const { repeatRoom } = this.hooks;
--- a/src/ingress/ingress-context.ts
+++ b/src/ingress/ingress-context.ts
@@ -2,6 +2,7 @@
  * Derives the limits of a request (deadline, longest wait at a gate, retries) and the options of its outgoing call from its
  * route. Pure. Used by the ingress of a sidecar and by the simulated one.
  */
+import { callPriority } from '../admission/call-priority.js';
 import type { Group } from '../policy/group-table.js';
 import type { Route } from '../policy/route-table.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
@@ -74,6 +75,7 @@
 ): OutboundRequest {
   return {
     trafficClass: `${route.name}/${context.service}`,
+    priority: callPriority({ ...context, isNested }),
     repeatable: route.repeatable,
     deadlineAt: context.deadlineAt,
     // The gates limit the repeats at their service; the caller needs no retry budget.
--- a/src/link/incoming-link-call.ts
+++ b/src/link/incoming-link-call.ts
@@ -50,6 +50,11 @@
     } else this.body = frame.body;
   }
 
+  /** Identifies the process that sent the call, as long as it stays connected. */
+  get caller(): object {
+    return this.link;
+  }
+
   /** Refuses the call. */
   refuse(outcome: Outcome): void {
     const { id } = this.frame;
--- a/src/link/outcome-fields.ts
+++ b/src/link/outcome-fields.ts
@@ -18,13 +18,15 @@
   repeatRoom: AcceptedRepeats,
   /** Absent if the sender's version does not support it. */
   crashNote?: CrashNote | null,
+  /** Absent if there is none or if the sender's version does not support it. */
+  returnInMs?: number,
 ];
 
 /** Encodes an outcome. */
 export function toOutcomeFields(outcome: Outcome): OutcomeFields {
   const { verdict, refusal, overloaded, nested, unspentRetries, load, congestion } = outcome;
   const isRejectedByTarget = outcome.rejectedByTarget === true;
-  return [
+  const fields: OutcomeFields = [
     verdict,
     refusal ?? null,
     overloaded,
@@ -37,6 +39,8 @@
     load?.repeatRoom ?? AcceptedRepeats.Runs,
     outcome.crashNote ?? null,
   ];
+  if (outcome.returnInMs !== undefined) fields.push(Math.ceil(outcome.returnInMs));
+  return fields;
 }
 
 /** Decodes an outcome. */
@@ -53,6 +57,7 @@
     rejectedByTarget,
     repeatRoom,
     crashNote,
+    returnInMs,
   ] = fields;
   return {
     verdict,
@@ -64,5 +69,6 @@
     ...(congestion !== null && { congestion }),
     ...(rejectedByTarget && { rejectedByTarget }),
     ...(typeof crashNote === 'string' && { crashNote }),
+    ...(typeof returnInMs === 'number' && { returnInMs }),
   };
 }
--- a/src/membership/target-announcements.ts
+++ b/src/membership/target-announcements.ts
@@ -3,6 +3,7 @@
  * incarnations are ignored; a successor starts without any.
  */
 import { RateLimitTracker, type RateLimitChange } from '../admission/announced-rate-limit.js';
+import type { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import type { Logger, LogFields } from '../common/logger.js';
 import type { TargetAnnouncement } from '../http/target-announcement.js';
 import { incarnationName, isSameIncarnation, type Incarnation } from './incarnation.js';
@@ -13,7 +14,10 @@
   private names = new Set<string>();
   private tracker = new RateLimitTracker();
 
-  constructor(private readonly logger: Logger) {}
+  constructor(
+    private readonly limiter: TargetRateLimiter,
+    private readonly logger: Logger,
+  ) {}
 
   /** The limit of the target in requests a second; undefined if it has announced none. */
   get rateLimitPerSecond(): number | undefined {
@@ -26,6 +30,8 @@
     if (!isSame) {
       this.names = new Set();
       this.tracker = new RateLimitTracker();
+      // The first target may have run before this process, and may have announced a limit then.
+      if (this.target !== undefined) this.limiter.setLimit(undefined);
     }
     this.target = target;
     this.names.add(incarnationName(target));
@@ -39,6 +45,7 @@
   onAnswer(incarnation: string, sentAt: number, { rateLimit }: TargetAnnouncement): void {
     if (!this.names.has(incarnation)) return;
     const change = this.tracker.onAnswer(rateLimit, sentAt);
+    this.limiter.setLimit(this.tracker.perSecond);
     if (change !== undefined) this.log(change);
   }
 
--- a/src/node/node-outbound-server.ts
+++ b/src/node/node-outbound-server.ts
@@ -14,6 +14,7 @@
 import { LOWEST_IMPORTANCE } from '../policy/importance.js';
 import { EMPTY_POLICY_TABLE, type PolicyTable } from '../policy/policy-table.js';
 import { RetryAllowance } from '../retry/retry-allowance.js';
+import { callPriority } from '../admission/call-priority.js';
 import type { CallContext } from '../call/call-context.js';
 import type { CallStats } from '../call/call-stats.js';
 import type { InboundCall } from '../gate/inbound-call.js';
@@ -108,6 +109,7 @@
       service,
       {
         trafficClass: `${service}/${context.kind}/${context.group}`,
+        priority: callPriority({ importance: context.importance, isNested: true }),
         repeatable: table.isRepeatable(service, message.method ?? '', this.path),
         deadlineAt: context.deadlineAt,
         retryRatio: table.kind(context.kind)?.retryRatio ?? DEFAULT_RETRY_RATIO,
--- a/src/outbound/attempt-end.ts
+++ b/src/outbound/attempt-end.ts
@@ -13,20 +13,22 @@
 export function refusedAttempt(outcome: Outcome): FailedAttempt {
   const { verdict, overloaded, crashNote, rejectedByTarget = false } = outcome;
   const isDangerous = crashNote === CrashNote.Suspect || crashNote === CrashNote.Quarantined;
-  return { verdict, overloaded, rejectedByTarget, isDangerous };
+  const isRateLimited = outcome.refusal === 'target-rate-limit';
+  return { verdict, overloaded, rejectedByTarget, isDangerous, isRateLimited };
 }
 
 /** Creates the input of the retry policy for an attempt whose connection broke. */
 export function brokenAttempt({ written }: AttemptFailure): FailedAttempt {
   const verdict = written ? 'may-have-run' : 'not-run';
-  return { verdict, overloaded: false, rejectedByTarget: false, isDangerous: false };
+  const unrefused = { overloaded: false, rejectedByTarget: false, isRateLimited: false };
+  return { verdict, isDangerous: false, ...unrefused };
 }
 
 /**
  * Returns the result to report to the balancer for a refused attempt. A crash counts as `cancelled`: it says nothing about
- * the next incarnation of the target.
+ * the next incarnation of the target. A rate limit says nothing about the health of the target.
  */
 export function toEndpointResult(outcome: Outcome): EndpointResult {
-  if (isTargetDown(outcome)) return 'cancelled';
+  if (isTargetDown(outcome) || outcome.refusal === 'target-rate-limit') return 'cancelled';
   return outcome.refusal === 'unreachable' ? 'failed' : 'answered';
 }
--- a/src/outbound/call-refusal.ts
+++ b/src/outbound/call-refusal.ts
@@ -1,16 +1,20 @@
 /** The causes for which a call ends without an answer, and the refusal that is returned to the caller. Pure. */
 import { CrashNote, type Outcome } from '../call/outcome.js';
-import type { Refusal, RefusalReason } from '../call/refusal.js';
+import type { Refusal } from '../call/refusal.js';
 import {
   NO_RETRY_AFTER,
   QUARANTINED_SECONDS,
   SHORT_RETRY_SECONDS,
+  targetRateLimitSeconds,
   throttledSeconds,
 } from '../call/retry-after.js';
 import type { Verdict } from '../common/verdict.js';
 
 /** Why a call ended without an answer: the reason and the detail of its refusal. */
-export type RefusalCause = Pick<Refusal, 'reason' | 'detail'>;
+export type RefusalCause = Pick<Refusal, 'reason' | 'detail'> & {
+  /** Time until a retry can succeed, in milliseconds, where it is known. */
+  readonly retryAfterMs?: number;
+};
 
 export const DEADLINE_BEFORE_SENDING: RefusalCause = {
   reason: 'deadline',
@@ -46,6 +50,12 @@
   detail: 'Targets crash under the request.',
 };
 
+/** All targets that the call may be sent to have reached the rate limits that they announce. */
+export function targetRateLimitCause(retryAfterMs: number): RefusalCause {
+  const detail = 'All targets of the service have reached their rate limits.';
+  return { reason: 'target-rate-limit', detail, retryAfterMs };
+}
+
 /** Returns the cause for a call whose latest attempt was refused by a gate and which is not sent again. */
 export function gateRefusalCause({ crashNote, refusal }: Outcome): RefusalCause {
   if (crashNote === CrashNote.Quarantined) return QUARANTINED;
@@ -63,10 +73,11 @@
   pressure: () => number,
 ): Refusal {
   const { reason, detail } = cause;
-  return { reason, verdict, retryAfterSeconds: retryAfterSeconds(reason, pressure), detail };
+  return { reason, verdict, retryAfterSeconds: retryAfterSeconds(cause, pressure), detail };
 }
 
-function retryAfterSeconds(reason: RefusalReason, pressure: () => number): number {
+function retryAfterSeconds({ reason, retryAfterMs }: RefusalCause, pressure: () => number): number {
+  if (retryAfterMs !== undefined) return targetRateLimitSeconds(retryAfterMs);
   if (reason === 'bad-request' || reason === 'duplicate') return NO_RETRY_AFTER;
   if (reason === 'quarantined') return QUARANTINED_SECONDS;
   return reason === 'overload' ? throttledSeconds(pressure()) : SHORT_RETRY_SECONDS;
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -25,6 +25,7 @@
   PROCESS_STOPPING,
   type RefusalCause,
   createRefusal,
+  targetRateLimitCause,
   THROTTLED,
 } from './call-refusal.js';
 import { HedgeTimer } from './hedge-timer.js';
@@ -108,12 +109,17 @@
 
   private sendAttempt(): void {
     const pick = this.pickTarget();
-    if (pick === undefined) this.refuse(NO_TARGET);
+    if (pick === undefined) this.refuse(this.noTargetCause());
     else this.sendTo(pick, { isHedge: false });
   }
 
   private pickTarget(): EndpointPick | undefined {
-    return this.dependencies.balancer.pick(this.triedEndpointIds, this.request.trafficClass);
+    return this.dependencies.balancer.pick(this.triedEndpointIds, this.request);
+  }
+
+  private noTargetCause(): RefusalCause {
+    const pausedMs = this.dependencies.balancer.pausedForMs(this.request.priority);
+    return pausedMs === undefined ? NO_TARGET : targetRateLimitCause(pausedMs);
   }
 
   private sendTo(pick: EndpointPick, { isHedge }: { isHedge: boolean }): void {
@@ -245,7 +251,7 @@
       return;
     }
     if (step.type === 'retry') this.spendRetry();
-    else this.reroutes += 1;
+    else if (!failed.isRateLimited) this.reroutes += 1;
     this.sendAttempt();
   }
 
--- a/src/outbound/outbound-request.ts
+++ b/src/outbound/outbound-request.ts
@@ -1,4 +1,5 @@
 /** The parameters, dependencies and results of an outbound call. */
+import type { CallPriority } from '../admission/call-priority.js';
 import type { CallThrottle } from '../admission/call-throttle.js';
 import type { Clock } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
@@ -12,6 +13,8 @@
 export interface OutboundRequest {
   /** Calls of the same class are throttled together and share a latency estimate. */
   readonly trafficClass: string;
+  /** Priority under the rate limits that targets announce. */
+  readonly priority: CallPriority;
   readonly repeatable: boolean;
   /** Monotonic time in milliseconds. */
   readonly deadlineAt: number;
--- a/src/programs/node-parts.ts
+++ b/src/programs/node-parts.ts
@@ -5,6 +5,7 @@
  */
 import { AdaptiveLimiter } from '../admission/adaptive-limiter.js';
 import { AdmissionController } from '../admission/admission-controller.js';
+import { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import { SHARING_ORDERS } from '../admission/sharing-policy.js';
 import { CallStats } from '../call/call-stats.js';
 import { SystemClock } from '../common/clock.js';
@@ -55,6 +56,7 @@
 /** Admission control in front of the target. */
 interface GateParts {
   readonly limiter: AdaptiveLimiter;
+  readonly rateLimiter: TargetRateLimiter;
   readonly admission: AdmissionController;
   readonly targetPool: TargetPool;
 }
@@ -113,17 +115,19 @@
 
 function createGateParts({ clock, random, settings }: NodeBase, getParts: PartsGetter): GateParts {
   const limiter = new AdaptiveLimiter(DEFAULT_SERVICE_SPEC.concurrency, random);
+  const rateLimiter = new TargetRateLimiter(clock);
   const admission = new AdmissionController({
     clock,
     random,
     limiter,
+    rateLimiter,
     order: SHARING_ORDERS['share-first'],
     shareOf: (group) => tableOf(getParts().follower).shareOf(group),
     totalShare: () => tableOf(getParts().follower).totalShare,
     queueWaitMs: () => specOf(getParts()).queueWaitMs,
   });
   const targetPool = new TargetPool(settings.target.origin, DEFAULT_SERVICE_SPEC.connections);
-  return { limiter, admission, targetPool };
+  return { limiter, rateLimiter, admission, targetPool };
 }
 
 function createClaimParts(
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -5,6 +5,7 @@
  */
 import { AdmissionController } from '../admission/admission-controller.js';
 import { CongestionLevel } from '../admission/congestion-level.js';
+import { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
 import { CallStats } from '../call/call-stats.js';
 import { RequestLog } from '../call/request-log.js';
@@ -69,6 +70,7 @@
   readonly lease: TargetLease;
   readonly target: SidecarTarget;
   readonly announcements: TargetAnnouncements;
+  readonly rateLimiter: TargetRateLimiter;
   readonly instancePool: TargetConnectionPool;
   readonly crashGuard: CrashGuard;
 }
@@ -128,11 +130,12 @@
     startedAt: Date.now(),
     stopProgress: new StopProgress(clock),
   };
+  const targetParts = createTargetParts(base, getParts);
   const parts: SidecarParts = {
     ...base,
     ...createObservability(base),
-    ...createTargetParts(base, getParts),
-    ...createGateParts(base, getParts),
+    ...targetParts,
+    ...createGateParts(base, targetParts.rateLimiter, getParts),
     ...createIngressParts(base, getParts),
     downstream: new CongestionLevel(clock),
     repeatedRuns: new RepeatedRuns(),
@@ -152,6 +155,7 @@
 function createTargetParts(base: ProcessParts, getParts: PartsGetter): TargetParts {
   const { clock, settings, logger, startedAt } = base;
   const target = new SidecarTarget(startedAt, logger, getParts);
+  const rateLimiter = new TargetRateLimiter(clock);
   const lease = new TargetLease(clock, settings.targetSilentMs, () => target.onChanged());
   const crashGuard = new CrashGuard({
     clock,
@@ -165,13 +169,18 @@
   return {
     lease,
     target,
-    announcements: new TargetAnnouncements(logger.part('target')),
+    rateLimiter,
+    announcements: new TargetAnnouncements(rateLimiter, logger.part('target')),
     instancePool: new TargetConnectionPool(clock),
     crashGuard,
   };
 }
 
-function createGateParts(base: ProcessParts, getParts: PartsGetter): GateParts {
+function createGateParts(
+  base: ProcessParts,
+  rateLimiter: TargetRateLimiter,
+  getParts: PartsGetter,
+): GateParts {
   const { clock, random, settings } = base;
   const limiter = new SlotLimiter(USABLE_SLOT_FRACTION);
   return {
@@ -180,6 +189,7 @@
       clock,
       random,
       limiter,
+      rateLimiter,
       ...GATE_SHARING,
       queueWaitMs: () => QUEUE_WAIT_MS,
     }),
--- a/src/retry/retry-policy.ts
+++ b/src/retry/retry-policy.ts
@@ -56,6 +56,8 @@
   readonly rejectedByTarget: boolean;
   /** Whether targets crash, or may crash, while they handle the request. */
   readonly isDangerous: boolean;
+  /** Whether it was refused, without having run, because of the rate limit that the target announces. */
+  readonly isRateLimited: boolean;
 }
 
 /** State of the two limits on retries and hedged requests. */
@@ -95,6 +97,8 @@
   if (attempt.overloaded) return afterOverload(attempt, state);
   if (!state.replayable) return giveUp(GiveUpReason.NotReplayable);
   if (state.remainingMs < MIN_RETRY_TIME_MS) return giveUp(GiveUpReason.NoTime);
+  // Not limited in number: each target is tried at most once, and learned to be at its limit.
+  if (attempt.isRateLimited) return REROUTE;
   if (attempt.verdict === 'not-run') {
     if (attempt.rejectedByTarget) return retryIfAllowed(state);
     return state.reroutes < MAX_REROUTES ? REROUTE : giveUp(GiveUpReason.ReroutesUsed);
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -2,6 +2,7 @@
  * Client-side load balancer for one service. Selects the caller's subset of the endpoints, chooses one of them for each
  * attempt (target-choice.ts), and updates its view of the endpoint when the attempt ends.
  */
+import type { CallPriority } from '../admission/call-priority.js';
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
 import type { Outcome } from '../call/outcome.js';
@@ -45,11 +46,17 @@
 }
 
 /** The fields of an outcome that concern the endpoint. */
-type ReportedOutcome = Pick<Outcome, 'refusal' | 'load' | 'crashNote'>;
+type ReportedOutcome = Pick<Outcome, 'refusal' | 'load' | 'crashNote' | 'returnInMs'>;
 
-/** How the attempt at a chosen endpoint ended. */
-interface PickEnd {
+/** The call for which an endpoint is chosen. */
+export interface PickRequest {
+  /** Groups calls that take about the same time at every endpoint. */
   readonly trafficClass: string;
+  readonly priority: CallPriority;
+}
+
+/** How the attempt at a chosen endpoint ended. */
+interface PickEnd extends PickRequest {
   /** Monotonic milliseconds. */
   readonly startedAt: number;
   readonly result: EndpointResult;
@@ -98,11 +105,11 @@
   /**
    * Chooses an endpoint and counts the attempt as in flight. Returns undefined if there are no candidates.
    * @param excluded ids of endpoints that this call has already tried
-   * @param trafficClass groups calls that take about the same time at every endpoint
    */
-  pick(excluded: ReadonlySet<string>, trafficClass: string): EndpointPick | undefined {
+  pick(excluded: ReadonlySet<string>, request: PickRequest): EndpointPick | undefined {
     const now = this.options.clock.now();
-    const view = chooseTarget(this.candidates(excluded, now), {
+    const { trafficClass, priority } = request;
+    const view = chooseTarget(this.candidates(excluded, priority, now), {
       callerZone: this.options.callerZone,
       context: { now, slowStartMs: this.options.slowStartMs(), meanLimit: this.meanLimit },
       random: this.options.random,
@@ -112,14 +119,27 @@
     return {
       endpoint: view.record,
       acceptsRepeats: view.acceptsRepeats,
-      end: (result, outcome) => this.onEnd(view, { trafficClass, startedAt: now, result, outcome }),
+      end: (result, outcome) =>
+        this.onEnd(view, { trafficClass, priority, startedAt: now, result, outcome }),
     };
   }
 
+  /**
+   * Time until the first endpoint that announces a rate limit wants calls of a priority again, in milliseconds; undefined if
+   * no endpoint refuses them for its rate limit.
+   */
+  pausedForMs(priority: CallPriority): number | undefined {
+    const now = this.options.clock.now();
+    const pauses = [...this.views.values()].map((view) => view.pausedForMs(priority, now));
+    const ahead = pauses.filter((pausedMs) => pausedMs > 0);
+    return ahead.length === 0 ? undefined : Math.min(...ahead);
+  }
+
   private onEnd(view: EndpointView, end: PickEnd): void {
-    const { trafficClass, startedAt, result, outcome } = end;
+    const { trafficClass, priority, startedAt, result, outcome } = end;
     const now = this.options.clock.now();
     view.onEnd(result, now);
+    if (outcome?.returnInMs !== undefined) view.pause(priority, now + outcome.returnInMs);
     if (outcome?.load !== undefined) {
       view.onLoad(outcome.load, now);
       this.meanLimit += LIMIT_WEIGHT * (outcome.load.limit - this.meanLimit);
@@ -136,9 +156,16 @@
     if (leastRatio > view.latencyRatio(now)) view.onLatency(leastRatio, now);
   }
 
-  private candidates(excluded: ReadonlySet<string>, now: number): EndpointView[] {
+  private candidates(
+    excluded: ReadonlySet<string>,
+    priority: CallPriority,
+    now: number,
+  ): EndpointView[] {
     return [...this.views.values()].filter(
-      ({ record }) => !excluded.has(record.id) && !this.isLeaving(record, now),
+      (view) =>
+        !excluded.has(view.record.id) &&
+        !this.isLeaving(view.record, now) &&
+        view.pausedForMs(priority, now) === 0,
     );
   }
 
--- a/src/routing/endpoint-view.ts
+++ b/src/routing/endpoint-view.ts
@@ -2,6 +2,7 @@
  * State of one endpoint as seen by this caller: its own calls in flight, the latency, the load that the gate reported, and
  * failures. Computes the cost by which endpoints are compared.
  */
+import type { CallPriority } from '../admission/call-priority.js';
 import type { LoadReport } from '../call/outcome.js';
 import { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { EndpointRecord, EndpointResult } from '../call/endpoint.js';
@@ -32,6 +33,8 @@
   private latestLatencyRatio = 1;
   /** Monotonic milliseconds. */
   private latencyRatioAt = 0;
+  /** Until when the gate wants no calls of a priority, in monotonic milliseconds. */
+  private readonly pausedUntil = new Map<CallPriority, number>();
   private load: LoadReport | undefined;
   /** Monotonic milliseconds. */
   private loadAt = 0;
@@ -53,6 +56,7 @@
       this.slowStartFrom = now;
       this.load = undefined;
       this.latestLatencyRatio = 1;
+      this.pausedUntil.clear();
     }
     this.record = record;
   }
@@ -95,6 +99,22 @@
     this.loadAt = now;
   }
 
+  /** The gate announced when it wants the next call of a priority. @param until monotonic milliseconds */
+  pause(priority: CallPriority, until: number): void {
+    this.pausedUntil.set(priority, until);
+  }
+
+  /** Time for which the gate wants no calls of this priority, in milliseconds; 0 if it wants them now. */
+  pausedForMs(priority: CallPriority, now: number): number {
+    let longestMs = 0;
+    for (const [paused, until] of this.pausedUntil) {
+      if (until <= now) this.pausedUntil.delete(paused);
+      // What is refused to more urgent calls is refused to all others.
+      else if (paused <= priority) longestMs = Math.max(longestMs, until - now);
+    }
+    return longestMs;
+  }
+
   /** Occupancy times latency ratio, divided by the weight of the slow start. Lower is better. */
   cost(context: CostContext): number {
     return (this.occupancy(context) * this.latencyRatio(context.now)) / this.warmupWeight(context);
--- a/test/admission/early-refusal.test.ts
+++ b/test/admission/early-refusal.test.ts
@@ -102,7 +102,7 @@
     const release: (() => void)[] = [];
     const offer = (kind: string, importance: Importance, waitUntil: number): void => {
       controller.offer(
-        { shareClass: 'g', kind, importance, deadlineAt: 10_000, waitUntil },
+        { shareClass: 'g', priority: 0, kind, importance, deadlineAt: 10_000, waitUntil },
         {
           onAdmitted: (permit) => {
             events.push(kind);
--- a/test/admission/group-rank.test.ts
+++ b/test/admission/group-rank.test.ts
@@ -6,6 +6,7 @@
 import { FixedLimiter } from '../../src/admission/fixed-limiter.js';
 import { SeededRandom } from '../../src/common/random.js';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
+import { TargetRateLimiter } from '../../src/admission/target-rate-limiter.js';
 import { GATE_SHARING, GateShareClass } from '../../src/gate/gate-policy.js';
 import type { Importance } from '../../src/policy/importance.js';
 
@@ -25,6 +26,7 @@
       clock,
       random: new SeededRandom(1),
       limiter: new FixedLimiter({ initial: 1, min: 1, max: 1 }),
+      rateLimiter: new TargetRateLimiter(clock),
       ...GATE_SHARING,
       queueWaitMs: () => 1_000,
     });
@@ -34,6 +36,7 @@
     const request = {
       shareClass: GateShareClass.Clients,
       kind: 'k',
+      priority: 0,
       deadlineAt: 5_000,
       waitUntil: 900,
     };
--- a/test/admission/unlike-kinds.test.ts
+++ b/test/admission/unlike-kinds.test.ts
@@ -18,7 +18,7 @@
     const offer = (kind: string, timeoutMs: number): void => {
       const until = clock.now() + timeoutMs;
       controller.offer(
-        { shareClass: 'g', kind, importance: 1, deadlineAt: until, waitUntil: until },
+        { shareClass: 'g', priority: 0, kind, importance: 1, deadlineAt: until, waitUntil: until },
         {
           onAdmitted: (given) => {
             permit = given;
--- a/test/golden/edge-and-node.test.ts
+++ b/test/golden/edge-and-node.test.ts
@@ -79,7 +79,7 @@
   retries: 2,
 };
 
-const FULL_OUTCOME: Required<Outcome> = {
+const FULL_OUTCOME: Required<Omit<Outcome, 'returnInMs'>> = {
   verdict: 'may-have-run',
   refusal: 'overload',
   overloaded: true,
@@ -166,6 +166,14 @@
       'verdict=may-have-run, unspent=3, refusal=overload, overloaded=1, in-flight=12, limit=300',
     );
     expect(formatOutcome(BASE_OUTCOME)).to.equal('verdict=ran, unspent=0');
+    const limited: Outcome = {
+      ...notStartedOutcome('target-rate-limit', 1),
+      returnInMs: 449.5,
+    };
+    expect(formatOutcome(limited)).to.equal(
+      'verdict=not-run, unspent=1, refusal=target-rate-limit, return-in-ms=450',
+    );
+    expect(parseOutcome(formatOutcome(limited))).to.deep.equal({ ...limited, returnInMs: 450 });
     expect(formatOutcome(notStartedOutcome('too-large', 2))).to.equal(
       'verdict=not-run, unspent=2, refusal=too-large',
     );
--- a/test/golden/link-frames.test.ts
+++ b/test/golden/link-frames.test.ts
@@ -76,7 +76,7 @@
   repeatRoom: AcceptedRepeats.Calls,
 };
 
-const FULL_OUTCOME: Required<Outcome> = {
+const FULL_OUTCOME: Required<Omit<Outcome, 'returnInMs'>> = {
   verdict: 'may-have-run',
   refusal: 'overload',
   overloaded: true,
@@ -168,6 +168,10 @@
       name: 'refused, no congestion',
       frame: refused({ ...FULL_OUTCOME, congestion: 0 }),
     },
+    {
+      name: 'refused, with a time to return',
+      frame: refused({ ...FULL_OUTCOME, refusal: 'target-rate-limit', returnInMs: 450 }),
+    },
   ],
   data: [{ name: 'data', frame: { type: 'data', id: 5, bytes: Buffer.from('00ff10', 'hex') } }],
   end: [{ name: 'end', frame: { type: 'end', id: 5 } }],
--- a/test/golden/outcome-values.ts
+++ b/test/golden/outcome-values.ts
@@ -21,6 +21,7 @@
   'not-ready': true,
   'stale-configuration': true,
   'rate-limited': true,
+  'target-rate-limit': true,
   quarantined: true,
 };
 
--- a/test/membership/target-announcements.test.ts
+++ b/test/membership/target-announcements.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
 import type { AnnouncedRateLimit } from '../../src/admission/announced-rate-limit.js';
+import { TargetRateLimiter } from '../../src/admission/target-rate-limiter.js';
+import { VirtualClock } from '../../src/common/virtual-clock.js';
 import { TargetAnnouncements } from '../../src/membership/target-announcements.js';
 import { CapturedLines } from '../support/captured-lines.js';
 
@@ -13,7 +15,10 @@
 
   beforeEach(() => {
     captured = new CapturedLines('sidecar', 'announcements');
-    announcements = new TargetAnnouncements(captured.logger.part('target'));
+    announcements = new TargetAnnouncements(
+      new TargetRateLimiter(new VirtualClock()),
+      captured.logger.part('target'),
+    );
     announcements.onTarget({ instance: 'i-1' });
   });
 
--- a/test/outbound/hedged-request-refused.test.ts
+++ b/test/outbound/hedged-request-refused.test.ts
@@ -69,6 +69,7 @@
       };
       const request = {
         trafficClass: 'read',
+        priority: 1,
         repeatable: true,
         deadlineAt: clock.now() + DEADLINE_MS,
         retryRatio: 0,
--- a/test/outbound/hedged-request-verdict.test.ts
+++ b/test/outbound/hedged-request-verdict.test.ts
@@ -85,6 +85,7 @@
       };
       const request = {
         trafficClass: 'read',
+        priority: 1,
         repeatable: true,
         deadlineAt: clock.now() + DEADLINE_MS,
         retryRatio: 0,
--- a/test/outbound/hedged-request.test.ts
+++ b/test/outbound/hedged-request.test.ts
@@ -59,6 +59,7 @@
       const startedAt = clock.now();
       const request = {
         trafficClass: 'read',
+        priority: 1,
         repeatable: true,
         deadlineAt: startedAt + 1_000,
         retryRatio: 0,
--- a/test/outbound/rejected-by-target.test.ts
+++ b/test/outbound/rejected-by-target.test.ts
@@ -50,6 +50,7 @@
     for (let call = 0; call < CALLS; call += 1) {
       const request = {
         trafficClass: 'check',
+        priority: 1,
         repeatable: true,
         deadlineAt: clock.now() + 1_000,
         retryRatio: RETRY_RATIO,
--- a/test/pins/refusals.test.ts
+++ b/test/pins/refusals.test.ts
@@ -37,6 +37,7 @@
   'not-ready': ['Not ready', 503, 502, 502],
   'stale-configuration': ['Configuration may be old', 503, 502, 502],
   'rate-limited': ['Rate limit of the group reached', 429, 429, 429],
+  'target-rate-limit': ['Rate limit of the target reached', 503, 502, 502],
   quarantined: ['Request kept from targets', 503, 502, 502],
 };
 
--- a/test/programs/target-rate-limit.test.ts
+++ b/test/programs/target-rate-limit.test.ts
@@ -28,7 +28,7 @@
     await fleet.sendFor(SETTLE_MS, DEMAND_PER_SECOND);
     const from = performance.now();
     const answers = await fleet.sendFor(WINDOW_MS + 1_000, DEMAND_PER_SECOND);
-    expect(limited!.worstWindow(WINDOW_MS, from)).to.be.at.most(ALLOWED);
+    expect(limited!.mostArrivals(WINDOW_MS, from)).to.be.at.most(ALLOWED);
     const served = answers.filter(({ status }) => status === 200).length / answers.length;
     expect(served, 'served while other targets have room').to.be.at.least(0.99);
   });
--- a/test/routing/balancer.test.ts
+++ b/test/routing/balancer.test.ts
@@ -32,7 +32,7 @@
   const send = (calls: number, latencyMs: (id: string) => number): Map<string, number> => {
     const counts = new Map<string, number>();
     for (let call = 0; call < calls; call += 1) {
-      const pick = made.pick(NOTHING_TRIED, 'read')!;
+      const pick = made.pick(NOTHING_TRIED, { trafficClass: 'read', priority: 1 })!;
       const { id } = pick.endpoint;
       counts.set(id, (counts.get(id) ?? 0) + 1);
       clock.advance(latencyMs(id));
@@ -86,7 +86,7 @@
     const crossing = (farInFlight: number): number => {
       const counts = new Map<string, number>();
       for (let call = 0; call < 200; call += 1) {
-        const pick = made.pick(NOTHING_TRIED, 'read')!;
+        const pick = made.pick(NOTHING_TRIED, { trafficClass: 'read', priority: 1 })!;
         const { id, zone } = pick.endpoint;
         counts.set(id, (counts.get(id) ?? 0) + 1);
         clock.advance(USUAL_MS);
@@ -116,7 +116,7 @@
     const { made, clock, send } = balancer();
     send(100, () => USUAL_MS);
     for (let call = 0; call < 100; call += 1) {
-      const pick = made.pick(NOTHING_TRIED, 'read')!;
+      const pick = made.pick(NOTHING_TRIED, { trafficClass: 'read', priority: 1 })!;
       const refuses = pick.endpoint.id === 'n1';
       clock.advance(refuses ? 1 : USUAL_MS);
       const load = { inFlight: refuses ? 10 : 1, limit: 10 };
--- a/test/routing/unanswered-calls.test.ts
+++ b/test/routing/unanswered-calls.test.ts
@@ -31,7 +31,7 @@
   balancer.update([endpoint('first'), endpoint('second')]);
   let toFirst = 0;
   for (let call = 0; call < 2 * CALLS; call += 1) {
-    const pick = balancer.pick(new Set(), 'read')!;
+    const pick = balancer.pick(new Set(), { trafficClass: 'read', priority: 1 })!;
     const isTroubled = call >= CALLS && pick.endpoint.id === 'first';
     if (isTroubled) toFirst += 1;
     clock.advance(isTroubled ? ms : USUAL_MS);
--- a/test/support/announcing-target.ts
+++ b/test/support/announcing-target.ts
@@ -1,6 +1,7 @@
 /** A target over HTTP that announces a rate limit or its shutdown in every answer, and records when requests arrive. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { worstWindow } from '../../lab/model/worst-window.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
 
 const HEADERS = DEFAULT_TARGET_HEADERS;
@@ -40,15 +41,11 @@
   }
 
   /** Largest number of arrivals in any window after a time, both in milliseconds. */
-  worstWindow(windowMs: number, from = 0): number {
-    const arrivals = this.arrivals.filter((at) => at >= from);
-    let worst = 0;
-    let first = 0;
-    for (const [index, at] of arrivals.entries()) {
-      while (arrivals[first]! <= at - windowMs) first += 1;
-      worst = Math.max(worst, index - first + 1);
-    }
-    return worst;
+  mostArrivals(windowMs: number, from = 0): number {
+    return worstWindow(
+      this.arrivals.filter((at) => at >= from),
+      windowMs,
+    ).count;
   }
 
   stop(): void {
--- a/test/support/slot-gate.ts
+++ b/test/support/slot-gate.ts
@@ -4,6 +4,7 @@
 import { KindImpact } from '../../src/admission/kind-impact.js';
 import { KindCircuitBreaker } from '../../src/admission/kind-circuit-breaker.js';
 import { KindLimiter } from '../../src/admission/kind-limiter.js';
+import { TargetRateLimiter } from '../../src/admission/target-rate-limiter.js';
 import { SHARING_ORDERS } from '../../src/admission/sharing-policy.js';
 import { SlotLimiter } from '../../src/admission/slot-limiter.js';
 import { SeededRandom } from '../../src/common/random.js';
@@ -22,6 +23,7 @@
     clock,
     random: new SeededRandom(1),
     limiter,
+    rateLimiter: new TargetRateLimiter(clock),
     order: SHARING_ORDERS['importance-first'],
     shareOf: () => 1,
     totalShare: () => 1,
