Keep the rate limit of a target when the process beside it restarts

What callers saw: nothing; a target with a limit got a burst after each restart of its sidecar, whose token bucket was forgotten while the other machines went on sending. Cause: a process without memory of a limit acted as if there were none, until the first answer told it. Change: after a start nothing is sent to the target until it has been probed once, and then one call, and one every two seconds, until its first answer is there. A health check that names a limit is enough; one that lacks it proves nothing. Ruled out: two calls and two a second, which exceed the bound after two kills in 4 s at 0.3 a second (by calculation).

--- a/src/admission/target-rate-limiter.ts
+++ b/src/admission/target-rate-limiter.ts
@@ -29,8 +29,8 @@
   | { readonly type: 'limited'; readonly bucket: TokenBucket }
   | { readonly type: 'unlimited' };
 
-/** Rate and number of calls before the first answer. */
-const TRIAL_RATE: TokenBucketRate = { perSecond: 2, capacity: 2 };
+/** Calls before the first answer; few, since others may have been told of any limit and the process may restart often. */
+const TRIAL_RATE: TokenBucketRate = { perSecond: 0.5, capacity: 1 };
 
 /** Lowest rate in calls a second. A target with a limit of 0 still gets calls, whose answers tell when the limit rises. */
 const MIN_CALLS_PER_SECOND = 0.25;
@@ -66,17 +66,19 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** The process has started, and its target is about to be probed. */
+  /** The process has started: admits nothing until {@link release}. */
   hold(): void {
     this.state = { type: 'held' };
   }
 
-  /** The limit of the target is not known, and cannot be probed. */
-  startTrial(): void {
-    this.state = {
-      type: 'trial',
-      bucket: new TokenBucket(TRIAL_RATE, TRIAL_RATE.capacity, this.clock.now()),
-    };
+  /** The target has been probed, or cannot be. */
+  release(): void {
+    if (this.state.type === 'held') this.startTrial();
+  }
+
+  /** There is another target, whose limit is not known. */
+  onTargetReplaced(): void {
+    if (this.state.type !== 'held') this.startTrial();
   }
 
   /** Sets the limit that the target announces. @param perSecond 0 or more; undefined for none */
@@ -134,6 +136,13 @@
     return returnAt - now;
   }
 
+  private startTrial(): void {
+    this.state = {
+      type: 'trial',
+      bucket: new TokenBucket(TRIAL_RATE, TRIAL_RATE.capacity, this.clock.now()),
+    };
+  }
+
   private nextReturnAt(now: number, waitMs: number): number {
     const { state } = this;
     if (state.type === 'held' || state.type === 'unlimited') return now + waitMs;
--- a/src/membership/target-announcements.ts
+++ b/src/membership/target-announcements.ts
@@ -2,7 +2,11 @@
  * Tracks what the current incarnation of a target announces in its answers, and logs each change. Announcements of other
  * incarnations are ignored; a successor starts without any.
  */
-import { RateLimitTracker, type RateLimitChange } from '../admission/announced-rate-limit.js';
+import {
+  RateLimitTracker,
+  type AnnouncedRateLimit,
+  type RateLimitChange,
+} from '../admission/announced-rate-limit.js';
 import type { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import type { Logger, LogFields } from '../common/logger.js';
 import type { TargetAnnouncement } from '../http/target-announcement.js';
@@ -13,9 +17,12 @@
   /** Names of the incarnation: one without its start time, and one with it once it is known. */
   private names = new Set<string>();
   private tracker = new RateLimitTracker();
+  private isLeaving = false;
 
+  /** @param onLeaving called once for each incarnation that announces its shutdown */
   constructor(
     private readonly limiter: TargetRateLimiter,
+    private readonly onLeaving: (target: Incarnation) => void,
     private readonly logger: Logger,
   ) {}
 
@@ -30,8 +37,8 @@
     if (!isSame) {
       this.names = new Set();
       this.tracker = new RateLimitTracker();
-      // The first target may have run before this process, and may have announced a limit then.
-      if (this.target !== undefined) this.limiter.setLimit(undefined);
+      this.isLeaving = false;
+      this.limiter.onTargetReplaced();
     }
     this.target = target;
     this.names.add(incarnationName(target));
@@ -42,13 +49,36 @@
    * @param incarnation name of the incarnation that answered
    * @param sentAt when the request was sent, in monotonic milliseconds
    */
-  onAnswer(incarnation: string, sentAt: number, { rateLimit }: TargetAnnouncement): void {
+  onAnswer(incarnation: string, sentAt: number, announcement: TargetAnnouncement): void {
     if (!this.names.has(incarnation)) return;
+    this.apply(announcement.rateLimit, sentAt);
+    if (announcement.isLeaving) this.onLeavingAnnounced(this.target!);
+  }
+
+  /**
+   * Records the answer to a health check. A limit that it lacks may still be in force: only answers to calls show that there
+   * is none.
+   * @param sentAt when the request was sent, in monotonic milliseconds
+   */
+  onHealthAnswer(target: Incarnation, sentAt: number, announcement: TargetAnnouncement): void {
+    this.onTarget(target);
+    if (announcement.rateLimit.type !== 'none') this.apply(announcement.rateLimit, sentAt);
+    if (announcement.isLeaving) this.onLeavingAnnounced(this.target!);
+  }
+
+  private apply(rateLimit: AnnouncedRateLimit, sentAt: number): void {
     const change = this.tracker.onAnswer(rateLimit, sentAt);
     this.limiter.setLimit(this.tracker.perSecond);
     if (change !== undefined) this.log(change);
   }
 
+  private onLeavingAnnounced(target: Incarnation): void {
+    if (this.isLeaving) return;
+    this.isLeaving = true;
+    this.logger.info('The target announced that it is leaving.', { ...target });
+    this.onLeaving(target);
+  }
+
   private log(change: RateLimitChange): void {
     const { type, ...limits } = change;
     const fields: LogFields = { ...limits, instance: this.target?.instance };
--- a/src/membership/target-probe.ts
+++ b/src/membership/target-probe.ts
@@ -3,6 +3,7 @@
  * periodic report. The instance id and the slots are taken from the response headers.
  */
 import { request } from 'undici';
+import { readAnnouncement, type TargetAnnouncement } from '../http/target-announcement.js';
 import { headerValue, type TargetHeaders } from '../http/target-headers.js';
 import type { TargetReport } from './target-lease.js';
 import { HttpStatus } from '../common/http-status.js';
@@ -21,14 +22,23 @@
 /** Number of fields in the load header: running, waiting, slots. */
 const LOAD_FIELDS = 3;
 
-/**
- * Probes a target and returns the result as a report that is older than any report the target sends itself.
- * @returns undefined if the target does not respond, is unhealthy or leaving, or does not report its id and slots
- */
+/** The answer of a target to a probe. */
+export interface ProbeAnswer {
+  /** Id of the instance that answered. */
+  readonly instance: string;
+  /**
+   * The answer as a report that is older than any report the target sends itself; undefined if the target is unhealthy or
+   * leaving, or does not report its slots.
+   */
+  readonly report: TargetReport | undefined;
+  readonly announcement: TargetAnnouncement;
+}
+
+/** Probes a target. @returns undefined if the target does not respond, or does not report its id */
 export async function probeTarget(
   target: ProbedTarget,
   names: TargetHeaders,
-): Promise<TargetReport | undefined> {
+): Promise<ProbeAnswer | undefined> {
   const { address, service, path } = target;
   try {
     const response = await request(`http://${address}${path}`, {
@@ -36,11 +46,18 @@
       headers: { connection: 'close' },
     });
     await response.body.dump();
-    if (response.statusCode !== HttpStatus.Ok) return undefined;
     const instance = headerValue(response.headers, names.instanceId);
+    if (instance === undefined) return undefined;
     const slots = slotsOf(headerValue(response.headers, names.load));
-    if (instance === undefined || slots === undefined) return undefined;
-    return { instance, service, address, slots, state: 'ready', sequence: 0, coldRemainingMs: 0 };
+    const isUsable = response.statusCode === HttpStatus.Ok && slots !== undefined;
+    const identity = { instance, service, address };
+    return {
+      instance,
+      report: isUsable
+        ? { ...identity, slots, state: 'ready', sequence: 0, coldRemainingMs: 0 }
+        : undefined,
+      announcement: readAnnouncement(names, response.headers),
+    };
   } catch {
     // Timeout or connection failure: the sidecar logs it and waits for a report of the target.
     return undefined;
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -156,6 +156,7 @@
   const { clock, settings, logger, startedAt } = base;
   const target = new SidecarTarget(startedAt, logger, getParts);
   const rateLimiter = new TargetRateLimiter(clock);
+  rateLimiter.hold();
   const lease = new TargetLease(clock, settings.targetSilentMs, () => target.onChanged());
   const crashGuard = new CrashGuard({
     clock,
@@ -170,7 +171,7 @@
     lease,
     target,
     rateLimiter,
-    announcements: new TargetAnnouncements(rateLimiter, logger.part('target')),
+    announcements: new TargetAnnouncements(rateLimiter, () => undefined, logger.part('target')),
     instancePool: new TargetConnectionPool(clock),
     crashGuard,
   };
--- a/src/programs/sidecar-target.ts
+++ b/src/programs/sidecar-target.ts
@@ -1,7 +1,9 @@
 /** Applies changes of the target to the parts of a sidecar: the announcement to control, the slots and the connections. */
 import type { AdmissionController } from '../admission/admission-controller.js';
+import type { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import type { SlotLimiter } from '../admission/slot-limiter.js';
 import { StopPhase, type StopProgress } from '../call/stop-phase.js';
+import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
 import type { Follower } from '../follower/follower.js';
 import type { TargetHeaders } from '../http/target-headers.js';
@@ -9,7 +11,7 @@
 import type { TargetAnnouncements } from '../membership/target-announcements.js';
 import type { TargetConnectionPool } from '../membership/target-connection-pool.js';
 import type { TargetLease, TargetReport } from '../membership/target-lease.js';
-import { probeTarget } from '../membership/target-probe.js';
+import { probeTarget, type ProbedTarget } from '../membership/target-probe.js';
 import type { CrashGuard } from '../quarantine/crash-guard.js';
 import type { ServiceRetryBudget } from '../retry/service-retry-budget.js';
 import type { SidecarSettings } from '../settings/sidecar-settings.js';
@@ -23,7 +25,9 @@
   readonly follower: Follower;
   readonly limiter: SlotLimiter;
   readonly admission: AdmissionController;
+  readonly clock: Clock;
   readonly announcements: TargetAnnouncements;
+  readonly rateLimiter: TargetRateLimiter;
   readonly instancePool: TargetConnectionPool;
   readonly crashGuard: CrashGuard;
   readonly retryBudget: ServiceRetryBudget;
@@ -76,18 +80,35 @@
   }
 
   /**
-   * Probes the health endpoint of the target once if it has not reported yet. Without the probe, the target would get no
-   * calls after a restart of the sidecar until its next report.
+   * Probes the health endpoint of the target once after the start of the process. Without the probe, the target would get no
+   * calls until its next report, and a target that had announced a rate limit or its shutdown before could get too many.
    */
   async probeOnce(): Promise<void> {
-    const { lease, settings, follower, headers } = this.getParts();
+    const { settings, follower, rateLimiter } = this.getParts();
     const { target: address, service } = settings;
-    const path = tableOf(follower).serviceSpec(service).healthCheckPath;
-    if (this.hasProbed || lease.current !== undefined) return;
-    if (address === undefined || address === null || path === undefined) return;
+    const table = tableOf(follower);
+    if (this.hasProbed || table.serviceNames().length === 0) return;
     this.hasProbed = true;
-    const report = await probeTarget({ address, service, path }, headers);
-    this.logger.info('Probed the health of the target.', { address, found: report?.instance });
+    const path = table.serviceSpec(service).healthCheckPath;
+    if (address !== undefined && address !== null && path !== undefined) {
+      await this.probe({ address, service, path });
+    }
+    rateLimiter.release();
+  }
+
+  private async probe(target: ProbedTarget): Promise<void> {
+    const { lease, headers, announcements, clock } = this.getParts();
+    const sentAt = clock.now();
+    const answer = await probeTarget(target, headers);
+    this.logger.info('Probed the health of the target.', {
+      address: target.address,
+      found: answer?.report?.instance,
+    });
+    if (answer === undefined) return;
+    const { instance, report, announcement } = answer;
+    const { current } = lease;
+    if (current !== undefined && current.instance !== instance) return;
+    announcements.onHealthAnswer(current ?? { instance }, sentAt, announcement);
     if (report !== undefined && lease.current === undefined) lease.onReport(report);
   }
 
--- a/test/admission/target-rate-limiter.test.ts
+++ b/test/admission/target-rate-limiter.test.ts
@@ -95,7 +95,8 @@
           for (const [index, gapMs] of gaps.entries()) {
             if (restartsAt.includes(index)) {
               limiter = new TargetRateLimiter(clock);
-              limiter.startTrial();
+              limiter.hold();
+              limiter.release();
             }
             if (limiter.tryAcquire(USUAL)) {
               admitted.push(clock.now());
@@ -113,9 +114,9 @@
   it('admits nothing before the target has been probed, and then a few calls to learn its limit', () => {
     limiter.hold();
     expect(offerFor(500, 10)).to.have.length(0);
-    limiter.startTrial();
+    limiter.release();
     const admitted = offerFor(1_000, 10);
-    expect(admitted.length).to.be.within(2, 4);
+    expect(admitted.length).to.be.within(1, 2);
     limiter.setLimit(undefined);
     expect(offerFor(1_000, 10)).to.have.length(100);
   });
--- a/test/membership/target-announcements.test.ts
+++ b/test/membership/target-announcements.test.ts
@@ -11,12 +11,15 @@
 describe('what a target announces in its answers', () => {
   let captured: CapturedLines;
   let announcements: TargetAnnouncements;
+  let left: string[];
   let sentAt = 0;
 
   beforeEach(() => {
     captured = new CapturedLines('sidecar', 'announcements');
+    left = [];
     announcements = new TargetAnnouncements(
       new TargetRateLimiter(new VirtualClock()),
+      ({ instance }) => left.push(instance),
       captured.logger.part('target'),
     );
     announcements.onTarget({ instance: 'i-1' });
@@ -56,6 +59,24 @@
     ]);
   });
 
+  it('is reported and logged once when it is leaving', () => {
+    const leaving = { rateLimit: { type: 'none' }, isLeaving: true } as const;
+    announcements.onAnswer('i-0', 1, leaving);
+    announcements.onAnswer('i-1', 1, leaving);
+    announcements.onAnswer('i-1', 2, leaving);
+    expect(left).to.deep.equal(['i-1']);
+    expect(captured.lines).to.deep.equal([
+      { level: INFO, msg: 'target: The target announced that it is leaving.', instance: 'i-1' },
+    ]);
+  });
+
+  it('is not lifted by a health check that lacks the limit', () => {
+    answer('i-1', { type: 'limited', perSecond: 5 });
+    const healthy = { rateLimit: { type: 'none' }, isLeaving: false } as const;
+    announcements.onHealthAnswer({ instance: 'i-1' }, (sentAt += 1), healthy);
+    expect(announcements.rateLimitPerSecond).to.equal(5);
+  });
+
   it('does not apply to its successor', () => {
     answer('i-1', { type: 'limited', perSecond: 5 });
     announcements.onTarget({ instance: 'i-2' });
--- a/test/membership/target-probe.test.ts
+++ b/test/membership/target-probe.test.ts
@@ -4,10 +4,15 @@
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
 import { probeTarget } from '../../src/membership/target-probe.js';
 
-const { instanceId, load } = DEFAULT_TARGET_HEADERS;
+const { instanceId, load, rateLimit, leaving } = DEFAULT_TARGET_HEADERS;
 
-/** Returns the result of a probe of a target with this health check. */
+/** Returns the report of a probe of a target with this health check. */
 async function probe(health: RequestListener) {
+  return (await probeAnswer(health))?.report;
+}
+
+/** Returns the answer to a probe of a target with this health check. */
+async function probeAnswer(health: RequestListener) {
   const server = createServer(health);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -44,6 +49,16 @@
     }
   });
 
+  it('reads what a target announces, also one that is leaving', async () => {
+    const headers = { [instanceId]: 'i-7', [rateLimit]: '5.4', [leaving]: '1' };
+    const found = await probeAnswer((_message, response) => response.writeHead(503, headers).end());
+    expect(found).to.deep.equal({
+      instance: 'i-7',
+      report: undefined,
+      announcement: { rateLimit: { type: 'limited', perSecond: 5.4 }, isLeaving: true },
+    });
+  });
+
   it('finds none where the connection breaks', async () => {
     const found = await probe((message) => message.socket.destroy());
     expect(found).to.equal(undefined);
--- a/test/support/announcing-fleet.ts
+++ b/test/support/announcing-fleet.ts
@@ -18,6 +18,12 @@
 export const ROUTE_RANKS = { urgent: 0, usual: 2 } as const;
 export type RouteName = keyof typeof ROUTE_RANKS;
 
+/** Which requests are sent, and where. */
+interface Sending {
+  readonly route?: RouteName;
+  readonly to?: readonly number[];
+}
+
 /** The answer to one request of a client. */
 export interface ClientAnswer {
   readonly status: number;
@@ -64,16 +70,20 @@
     await this.report();
   }
 
-  /** Sends requests to each ingress in turn. @returns the answers */
+  /**
+   * Sends requests to several ingresses in turn.
+   * @param to indexes of their machines; all by default
+   * @returns the answers, in the order of the requests
+   */
   async sendFor(
     durationMs: number,
     perSecond: number,
-    route: RouteName = 'usual',
+    { route = 'usual', to = [...this.targets.keys()] }: Sending = {},
   ): Promise<ClientAnswer[]> {
     const answers: Promise<ClientAnswer>[] = [];
     const from = performance.now();
     for (let sent = 0; performance.now() < from + durationMs; sent += 1) {
-      answers.push(this.send(sent % this.sidecars.length, route));
+      answers.push(this.send(to[sent % to.length]!, route));
       await sleep(Math.max(0, from + ((sent + 1) * MS_PER_SECOND) / perSecond - performance.now()));
     }
     return Promise.all(answers);
