Stop sending to a target that announces in its answers that it leaves

What callers saw: requests on a target that had said in its answers that it was leaving, until it said so in a report as well. Cause: the same as for rate limits: what targets announce in answers was relayed to clients and not read. Change: the announcement ends the lease of that incarnation as a deregistration does: calls that wait are refused as not run and go elsewhere, new ones are refused, control is told.

--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -171,7 +171,11 @@
     lease,
     target,
     rateLimiter,
-    announcements: new TargetAnnouncements(rateLimiter, () => undefined, logger.part('target')),
+    announcements: new TargetAnnouncements(
+      rateLimiter,
+      (leaving) => lease.onLeave(leaving),
+      logger.part('target'),
+    ),
     instancePool: new TargetConnectionPool(clock),
     crashGuard,
   };
--- a/test/programs/target-rate-limit.test.ts
+++ b/test/programs/target-rate-limit.test.ts
@@ -70,6 +70,19 @@
     expect(refused.length).to.be.above(0);
     for (const { retryAfterSeconds } of refused) expect(retryAfterSeconds).to.be.within(0.1, 10);
   });
+
+  it('gets no more requests once it announces that it is leaving', async () => {
+    const [leaving] = fleet.targets;
+    const sending = fleet.sendFor(2_500, DEMAND_PER_SECOND);
+    await sleep(500);
+    leaving!.isLeaving = true;
+    await sleep(500);
+    const arrived = leaving!.arrivals.length;
+    await fleet.restart(0);
+    const answers = await sending;
+    expect(leaving!.arrivals.length).to.equal(arrived);
+    expect(servedPart(answers.slice(0, -DEMAND_PER_SECOND / MACHINES))).to.be.at.least(0.98);
+  });
 });
 
 function servedPart(answers: readonly ClientAnswer[]): number {
