Nodes: apply the rate limit and the shutdown that their targets announce

Change: the node reads them, limits the calls in its admission controller, and refuses calls while its target is leaving, until the port refuses connections (targets of nodes report nothing).

--- a/src/http/target-transport.ts
+++ b/src/http/target-transport.ts
@@ -12,6 +12,8 @@
 import { RelayHandler } from './relay-handler.js';
 import { filterRequestHeaders, forwardRequest } from './forward-request.js';
 import type { RequestBody } from './request-body.js';
+import { readAnnouncement, type TargetAnnouncement } from './target-announcement.js';
+import { DEFAULT_TARGET_HEADERS } from './target-headers.js';
 
 export interface TargetRequest {
   readonly context: CallContext;
@@ -20,6 +22,11 @@
   readonly message: IncomingMessage;
   readonly body: RequestBody;
   readonly response: ServerResponse;
+  /**
+   * Called with what the target announces in its answer.
+   * @param sentAt when the request was sent, in monotonic milliseconds
+   */
+  readonly onAnnouncement: (sentAt: number, announcement: TargetAnnouncement) => void;
   /** Returns the outcome to send with the answer. Called at most once. */
   readonly takeOutcome: () => Outcome;
 }
@@ -32,7 +39,8 @@
   ) {}
 
   send(listener: AttemptListener): Attempt {
-    const { context, spanId, message, body, response, takeOutcome } = this.request;
+    const { context, spanId, message, body, response, takeOutcome, onAnnouncement } = this.request;
+    const sentAt = this.clock.now();
     const headers = filterRequestHeaders(message);
     const remainingMs = Math.max(0, Math.floor(context.deadlineAt - this.clock.now()));
     headers.push(
@@ -44,6 +52,8 @@
     const handler = new RelayHandler(
       response,
       {
+        onResponse: (_status, answerHeaders) =>
+          onAnnouncement(sentAt, readAnnouncement(DEFAULT_TARGET_HEADERS, answerHeaders)),
         readHead: (status) => ({ status, outcome: undefined }),
         extraHeaders: () => [OUTCOME_HEADER, formatOutcome(takeOutcome())],
       },
--- a/src/membership/target-announcements.ts
+++ b/src/membership/target-announcements.ts
@@ -26,6 +26,11 @@
     private readonly logger: Logger,
   ) {}
 
+  /** Name of the current incarnation; empty before the first target. */
+  get incarnation(): string {
+    return this.target === undefined ? '' : incarnationName(this.target);
+  }
+
   /** The limit of the target in requests a second; undefined if it has announced none. */
   get rateLimitPerSecond(): number | undefined {
     return this.tracker.perSecond;
--- a/src/node/node-inbound-server.ts
+++ b/src/node/node-inbound-server.ts
@@ -11,6 +11,7 @@
 import type { BodyLimits, RequestBody } from '../http/request-body.js';
 import type { ClaimMessage, ClaimReply } from '../dedup/claim-messages.js';
 import { handleClaimMessage, CLAIM_MESSAGE, MESSAGE_HEADER } from '../http/claim-transport.js';
+import type { TargetAnnouncement } from '../http/target-announcement.js';
 import type { TargetPool } from '../http/target-pool.js';
 import { HttpTargetTransport } from '../http/target-transport.js';
 import { LOWEST_IMPORTANCE } from '../policy/importance.js';
@@ -34,6 +35,11 @@
   readonly services: InboundServices;
   readonly registry: InboundRegistry;
   readonly targetPool: TargetPool;
+  /**
+   * Called with what the target announces in an answer.
+   * @param sentAt when the request was sent, in monotonic milliseconds
+   */
+  readonly onAnnouncement: (sentAt: number, announcement: TargetAnnouncement) => void;
   readonly linkToken: string;
   readonly bodyLimits: BodyLimits;
   readonly stats: CallStats;
@@ -123,7 +129,7 @@
   }
 
   protected override onBody(body: RequestBody): void {
-    const { services, targetPool, registry } = this.options;
+    const { services, targetPool, registry, onAnnouncement } = this.options;
     const transport: HttpTargetTransport = new HttpTargetTransport(
       services.clock,
       targetPool.dispatcher,
@@ -133,6 +139,7 @@
         message: this.message,
         body,
         response: this.response,
+        onAnnouncement,
         takeOutcome: (): Outcome => call.takeOutcome('ran', undefined),
       },
     );
--- a/src/programs/node-parts.ts
+++ b/src/programs/node-parts.ts
@@ -18,6 +18,9 @@
 import { HttpClaimTransport } from '../http/claim-transport.js';
 import { ConnectionPools } from '../http/connection-pools.js';
 import { TargetPool } from '../http/target-pool.js';
+import { LeavingTarget } from '../membership/leaving-target.js';
+import { refusesConnections } from '../membership/port-probe.js';
+import { TargetAnnouncements } from '../membership/target-announcements.js';
 import { DEFAULT_SERVICE_SPEC, type ServiceSpec } from '../policy/resource-schema.js';
 import type { ServiceDirectory } from '../routing/service-directory.js';
 import type { NodeSettings } from '../settings/node-settings.js';
@@ -56,7 +59,8 @@
 /** Admission control in front of the target. */
 interface GateParts {
   readonly limiter: AdaptiveLimiter;
-  readonly rateLimiter: TargetRateLimiter;
+  readonly announcements: TargetAnnouncements;
+  readonly leavingTarget: LeavingTarget;
   readonly admission: AdmissionController;
   readonly targetPool: TargetPool;
 }
@@ -113,7 +117,8 @@
   return parts;
 }
 
-function createGateParts({ clock, random, settings }: NodeBase, getParts: PartsGetter): GateParts {
+function createGateParts(base: NodeBase, getParts: PartsGetter): GateParts {
+  const { clock, random, settings } = base;
   const limiter = new AdaptiveLimiter(DEFAULT_SERVICE_SPEC.concurrency, random);
   const rateLimiter = new TargetRateLimiter(clock);
   const admission = new AdmissionController({
@@ -127,7 +132,40 @@
     queueWaitMs: () => specOf(getParts()).queueWaitMs,
   });
   const targetPool = new TargetPool(settings.target.origin, DEFAULT_SERVICE_SPEC.connections);
-  return { limiter, rateLimiter, admission, targetPool };
+  return {
+    limiter,
+    admission,
+    targetPool,
+    ...createTargetWatch(base, rateLimiter, () => admission.refuseWaiting()),
+  };
+}
+
+/** Tracks the announcements of the target. @param onLeaving called when the target announces its shutdown */
+function createTargetWatch(
+  { clock, settings, logger }: NodeBase,
+  rateLimiter: TargetRateLimiter,
+  onLeaving: () => void,
+): Pick<GateParts, 'announcements' | 'leavingTarget'> {
+  const { origin } = settings.target;
+  const announcements = new TargetAnnouncements(
+    rateLimiter,
+    () => {
+      leavingTarget.begin();
+      onLeaving();
+    },
+    logger.part('target'),
+  );
+  // Targets of nodes have no id: they are told apart by counting them.
+  let targets = 0;
+  const onNewTarget = (): void =>
+    announcements.onTarget({ instance: origin, born: (targets += 1) });
+  const leavingTarget = new LeavingTarget(
+    clock,
+    () => refusesConnections(new URL(origin).host),
+    onNewTarget,
+  );
+  onNewTarget();
+  return { announcements, leavingTarget };
 }
 
 function createClaimParts(
--- a/src/programs/node-program.ts
+++ b/src/programs/node-program.ts
@@ -2,6 +2,7 @@
  * `shoredoor node`: runs beside one target, admits calls to it and forwards the calls that it makes. Gets its policy,
  * endpoints and claim view from control and keeps all state in memory.
  */
+import type { Registry } from 'prom-client';
 import { waitUntilAllIdle } from '../call/call-stats.js';
 import type { Logger } from '../common/logger.js';
 import { ListeningServer } from '../http/listening-server.js';
@@ -9,6 +10,7 @@
 import { NodeOutboundServer } from '../node/node-outbound-server.js';
 import { startAdminServer } from '../observe/admin-server.js';
 import { createNodeMetrics } from '../observe/node-metrics.js';
+import { registerRateLimitMetrics } from '../observe/rate-limit-metrics.js';
 import { OutboundRouter } from '../outbound/outbound-router.js';
 import type { NodeSettings } from '../settings/node-settings.js';
 import { bodyLimitsOf, followerReadiness } from './follower-setup.js';
@@ -40,12 +42,12 @@
 }
 
 async function startServers(parts: NodeParts): Promise<NodeServers> {
-  const { settings, leavingState, inboundStats, outboundStats, admission, follower } = parts;
+  const { settings, leavingState, follower } = parts;
   const inbound = await ListeningServer.start(settings.inbound, createInbound(parts).handle);
   const outbound = await ListeningServer.start(settings.outbound, createOutbound(parts).handle);
   const admin = await startAdminServer({
     address: settings.admin,
-    registry: createNodeMetrics(inboundStats, outboundStats, admission, follower),
+    registry: createMetrics(parts),
     readiness: () =>
       followerReadiness(leavingState.isLeaving, follower, {
         leaving: 'leaving',
@@ -55,13 +57,28 @@
   return { inbound, outbound, admin };
 }
 
+function createMetrics(parts: NodeParts): Registry {
+  const { inboundStats, outboundStats, admission, follower, announcements } = parts;
+  const registry = createNodeMetrics(inboundStats, outboundStats, admission, follower);
+  registerRateLimitMetrics(registry, () => announcements.rateLimitPerSecond);
+  return registry;
+}
+
 function createInbound(parts: NodeParts): NodeInboundServer {
   const { clock, settings, admission, claims, claimReplica, leavingState, follower } = parts;
+  const { announcements, leavingTarget } = parts;
   return new NodeInboundServer({
     service: settings.service,
-    services: { clock, admission, claims, isLeaving: () => leavingState.isLeaving },
+    services: {
+      clock,
+      admission,
+      claims,
+      isLeaving: () => leavingState.isLeaving || leavingTarget.isLeaving,
+    },
     registry: parts.registry,
     targetPool: parts.targetPool,
+    onAnnouncement: (sentAt, announcement) =>
+      announcements.onAnswer(announcements.incarnation, sentAt, announcement),
     linkToken: settings.linkToken,
     bodyLimits: bodyLimitsOf(settings),
     stats: parts.inboundStats,
@@ -105,6 +122,7 @@
   if (!finished) logger.warn('Calls were still in flight at the end of the stop.');
   follower.stop();
   claimReplica.stop();
+  parts.leavingTarget.stop();
   for (const server of [inbound, outbound, admin]) server.destroy();
   await Promise.all([parts.pools.destroy(), parts.targetPool.destroy()]);
   logger.info('Stopped.');
--- a/test/golden/edge-and-node.test.ts
+++ b/test/golden/edge-and-node.test.ts
@@ -310,6 +310,7 @@
         message: MESSAGE,
         body: BODY,
         response,
+        onAnnouncement: () => undefined,
         takeOutcome: () => FULL_OUTCOME,
       });
       transport.send(listener);
