--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -5,6 +5,7 @@
 import { UsageError } from '../../src/common/errors.js';
 import { drawPlan, type SoakPlan } from '../soak/soak-plan.js';
 import { drawCrashPlan } from '../soak/crash-plan.js';
+import { drawLimitPlan, drawManyLimitsPlan } from '../soak/limit-plan.js';
 import { drawStopPlan } from '../soak/stop-plan.js';
 import { wholeNumber } from './options.js';
 
@@ -21,6 +22,8 @@
   mixed: drawPlan,
   stops: drawStopPlan,
   crashes: drawCrashPlan,
+  limits: drawLimitPlan,
+  'many-limits': drawManyLimitsPlan,
 };
 
 function profileOf(name: string): (seed: number, durationMs: number) => SoakPlan {
--- a/lab/soak/exchange-result.ts
+++ b/lab/soak/exchange-result.ts
@@ -1,5 +1,7 @@
 /** The outcome of an HTTP exchange as seen by the client. */
 import type { Dispatcher } from 'undici';
+import { readAnnouncement, type TargetAnnouncement } from '../../src/http/target-announcement.js';
+import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
 
 export interface ExchangeResult {
   /** Status of the response; 0 if the response was not received completely. */
@@ -7,11 +9,15 @@
   readonly body: string;
   /** Whether the client's own timeout ended the exchange. */
   readonly hasTimedOut: boolean;
+  /** What the target announces in the response; undefined if the response was not received completely. */
+  readonly announcement?: TargetAnnouncement;
 }
 
 /** Reads a response completely. @throws when the connection fails or the client's timeout expires */
 export async function readResponse(response: Dispatcher.ResponseData): Promise<ExchangeResult> {
-  return { status: response.statusCode, body: await response.body.text(), hasTimedOut: false };
+  const announcement = readAnnouncement(DEFAULT_TARGET_HEADERS, response.headers);
+  const body = await response.body.text();
+  return { status: response.statusCode, body, hasTimedOut: false, announcement };
 }
 
 /** Result of an exchange that failed: connection refused or reset, or timeout. */
--- a/lab/soak/run-soak.ts
+++ b/lab/soak/run-soak.ts
@@ -142,10 +142,16 @@
       nestedDeadlineMs: this.plan.nestedDeadlineMs,
     };
     const { services } = this.plan;
-    for (const { index, service, outbound } of this.fleet.machines) {
+    for (const { index, service, outbound, targetPort } of this.fleet.machines) {
       const next = services[services.indexOf(service) + 1];
       const nextPath = next === undefined ? undefined : nestedPath(next);
-      const options = { machine: index, service, nextPath, outboundOrigin: outbound };
+      const options = {
+        machine: index,
+        service,
+        nextPath,
+        outboundOrigin: outbound,
+        port: targetPort,
+      };
       this.targets.push(await SoakTarget.start(context, options));
     }
     this.reportTimer = setInterval(() => this.reportTargets(), REPORT_INTERVAL_MS);
--- a/lab/soak/soak-faults.ts
+++ b/lab/soak/soak-faults.ts
@@ -8,6 +8,8 @@
 import type { SoakTarget } from './soak-target.js';
 
 const SLOWDOWN_FACTOR = 6;
+/** Time between the end of a target that has left and its restart, in milliseconds. */
+const DOWN_MS = 500;
 /** Time after the end of a fault in which its effects may still show, in milliseconds. */
 const AFTERMATH_MS = 4_000;
 
@@ -33,7 +35,9 @@
     this.locks.add(lock);
     const fromMs = this.context.now();
     const isPlanned =
-      fault.kind === FaultKind.StopSidecar || fault.kind === FaultKind.ReloadSidecar;
+      fault.kind === FaultKind.StopSidecar ||
+      fault.kind === FaultKind.ReloadSidecar ||
+      fault.kind === FaultKind.AnnounceLimit;
     if (!isPlanned) this.recordDisturbance(machine, fromMs, fromMs + fault.forMs + AFTERMATH_MS);
     await this.apply(fault, machine, replica, target);
     if (!isPlanned) this.recordDisturbance(machine, fromMs, this.context.now() + AFTERMATH_MS);
@@ -55,6 +59,8 @@
   /** The lock of a fault. All control replicas share one, so that a majority of them stays up. */
   private lockOf({ kind }: PlannedFault, machine: SoakMachine): object {
     if (kind === FaultKind.DeadlyRequest || kind === FaultKind.DeadlyCall) return {};
+    // Announcements overlap with faults of the process beside the target.
+    if (isAnnouncement(kind)) return machine.proxy;
     return isControlFault(kind) ? this.context.fleet.replicas : machine.process;
   }
 
@@ -116,6 +122,12 @@
       case FaultKind.CrashTarget:
         await target.crash(forMs);
         return;
+      case FaultKind.AnnounceLimit:
+        await announceLimits(target, fault);
+        return;
+      case FaultKind.LeaveByAnswers:
+        await target.leave(forMs, DOWN_MS);
+        return;
       case FaultKind.DeadlyRequest:
       case FaultKind.DeadlyCall:
         await this.context.deadly.run(fault);
@@ -141,6 +153,23 @@
   }
 }
 
+function isAnnouncement(kind: FaultKind): boolean {
+  return kind === FaultKind.AnnounceLimit || kind === FaultKind.LeaveByAnswers;
+}
+
+/** Announces the limit, then half of it, then twice as much, and so on. */
+async function announceLimits(
+  target: SoakTarget,
+  { perSecond = 1, forMs, gapMs = forMs }: PlannedFault,
+): Promise<void> {
+  const { instance } = target;
+  for (let step = 0; step * gapMs < forMs && target.instance === instance; step += 1) {
+    target.announceLimit(step % 2 === 0 ? perSecond : perSecond / 2);
+    await pause(Math.min(gapMs, forMs - step * gapMs));
+  }
+  if (target.instance === instance) target.announceLimit(undefined);
+}
+
 function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -14,7 +14,7 @@
 const ELECTION_TIMEOUT_MS = 600;
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
 export const GRACE_MS = 6_000;
-const PORTS_PER_MACHINE = 3;
+const PORTS_PER_MACHINE = 4;
 
 /** The retry budget in the settings of the sidecars. */
 export const RETRY_BUDGET = { ratio: 0.2, slack: 40, windowMs: 10_000 };
@@ -27,6 +27,8 @@
   readonly proxy: LoopbackProxy;
   readonly outbound: string;
   readonly registration: string;
+  /** Port on which the target of the machine listens. */
+  readonly targetPort: number;
 }
 
 export interface SoakReplica {
@@ -96,7 +98,7 @@
 
   private async addMachine(service: SoakService, control: readonly string[]): Promise<void> {
     const index = this.machines.length;
-    const [inbound, outbound, registration] = await freePorts(PORTS_PER_MACHINE);
+    const [inbound, outbound, registration, target] = await freePorts(PORTS_PER_MACHINE);
     const proxy = await LoopbackProxy.start(inbound!);
     const id = `sidecar-${index}`;
     const process = new ProgramProcess(id, 'sidecar', this.workDir, {
@@ -105,6 +107,7 @@
       advertise: proxy.origin,
       outbound: { host: '127.0.0.1', port: outbound },
       registration: { host: '127.0.0.1', port: registration },
+      target: `127.0.0.1:${target}`,
       control,
       heartbeatIntervalMs: HEARTBEAT_MS,
       retries: RETRY_BUDGET,
@@ -117,6 +120,7 @@
       proxy,
       outbound: `http://127.0.0.1:${outbound}`,
       registration: `http://127.0.0.1:${registration}`,
+      targetPort: target!,
     });
   }
 }
--- a/lab/soak/soak-operator.ts
+++ b/lab/soak/soak-operator.ts
@@ -8,6 +8,7 @@
 /** Path prefixes of the route with repeatable requests and of the one with at-most-once requests. */
 export const READ_PATH = '/read/';
 export const PLACE_PATH = '/place/';
+export const HEALTH_PATH = '/health';
 const RETRY_MS = 100;
 const ANSWER_TIMEOUT_MS = 1_000;
 const STATUS_OK = 200;
@@ -106,10 +107,14 @@
     ...deeper.map((service) =>
       route(`nested-${service.name}`, nestedPath(service), service, 'repeatable'),
     ),
-    ...plan.services.map(({ name }) => ({ kind: 'Service', name, spec: { connections: 128 } })),
+    ...plan.services.map(({ name }) => ({ kind: 'Service', name, spec: serviceSpecOf(plan) })),
   ];
 }
 
+function serviceSpecOf({ hasHealthChecks = false }: SoakPlan): object {
+  return { connections: 128, ...(hasHealthChecks && { healthCheckPath: HEALTH_PATH }) };
+}
+
 function routeOf(
   { timeoutMs }: SoakPlan,
   name: string,
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -17,6 +17,10 @@
   SlowTargets = 'slow-targets',
   /** A target crashes and restarts after the duration of the fault. */
   CrashTarget = 'crash-target',
+  /** A target announces a rate limit, which changes several times. */
+  AnnounceLimit = 'announce-limit',
+  /** A target announces its shutdown in its answers, ends, and restarts. */
+  LeaveByAnswers = 'leave-by-answers',
   /** A request, sent repeatedly, that crashes each target that runs it. */
   DeadlyRequest = 'deadly-request',
   /** A request, sent repeatedly, whose target makes a deadly call to the next service. */
@@ -35,7 +39,9 @@
   readonly part: number;
   /** Milliseconds from the exit of a stopped process to its restart. Default 0. */
   readonly restartAfterMs?: number;
-  /** Milliseconds between two sends of a deadly request. */
+  /** Rate limit that a target announces first, in requests a second. */
+  readonly perSecond?: number;
+  /** Milliseconds between two sends of a deadly request, or between two changes of a rate limit. */
   readonly gapMs?: number;
 }
 
@@ -69,6 +75,8 @@
   readonly changesAtMs: readonly number[];
   /** Whether some client requests have a path of their own; otherwise all of a route share one. Default false. */
   readonly hasUniqueRequests?: boolean;
+  /** Whether the services declare a health check, which sidecars use after a start. Default false. */
+  readonly hasHealthChecks?: boolean;
 }
 
 /** The order is fixed: a recorded seed must draw the same plan. */
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -3,6 +3,7 @@
  * Has no clock; times are passed in, in milliseconds.
  */
 import type { ExchangeResult } from './exchange-result.js';
+import { AnnouncementLedger } from './announcement-ledger.js';
 import { ArrivalLedger, type ArrivalBound } from '../simulator/sidecars/arrival-ledger.js';
 
 /** The checks of a run, by the names that reports print. */
@@ -18,6 +19,8 @@
   Recovery = 'recovery',
   DeadlyBound = 'deadly requests bounded',
   NoFalseQuarantine = 'no innocent request quarantined',
+  TargetRateLimit = 'rate limit of a target',
+  LeavingTarget = 'no request to a leaving target',
 }
 
 /** A check that failed. */
@@ -92,6 +95,7 @@
 
 export class SoakRecord {
   readonly arrivals = new ArrivalLedger();
+  readonly announcements = new AnnouncementLedger();
   private readonly runs = new Map<string, number>();
   private readonly atMostOnceIds = new Set<string>();
   private readonly outcomes: RequestOutcome[] = [];
@@ -123,6 +127,8 @@
 
   onRequestEnded(outcome: RequestOutcome): void {
     this.outcomes.push(outcome);
+    const { id, announcement, endedAt } = outcome;
+    if (announcement !== undefined) this.announcements.onRelayed(id, announcement, endedAt);
   }
 
   /** A machine is affected by a fault for a time. */
@@ -155,6 +161,7 @@
     for (const outcome of this.outcomes) this.checkOutcome(outcome);
     this.checkRetries(bounds);
     this.checkDeadly();
+    this.checkAnnouncements();
     const ofClients = this.outcomes.filter(({ isNested }) => !isNested);
     this.checkSuccessRatio(Check.Goodput, bounds.minSuccessRatio, ofClients);
     const atEnd = ofClients.filter(({ sentAt }) => sentAt >= bounds.recoveredAt);
@@ -244,6 +251,15 @@
     }
   }
 
+  private checkAnnouncements(): void {
+    this.countCheck(Check.TargetRateLimit, this.announcements.limitCheckCount);
+    this.countCheck(Check.LeavingTarget, this.announcements.leavingCheckCount);
+    for (const { type, detail } of this.announcements.violations()) {
+      const check = type === 'leaving' ? Check.LeavingTarget : Check.TargetRateLimit;
+      this.foundViolations.push({ check, detail });
+    }
+  }
+
   private historyOf(name: string): DeadlyHistory {
     const existing = this.deadly.get(name);
     if (existing !== undefined) return existing;
--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -3,12 +3,13 @@
  * sidecar, records the requests it runs, and fails on demand.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { request } from 'undici';
 import type { RandomSource } from '../../src/common/random.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
 import { CALLS_DEADLY_PREFIX, DEADLY_PREFIX } from './deadly-client.js';
 import { failedExchange, readResponse, type ExchangeResult } from './exchange-result.js';
+import { HEALTH_PATH } from './soak-operator.js';
 import { answerBody, type SoakRecord } from './soak-record.js';
 import type { SoakService } from './soak-plan.js';
 
@@ -52,6 +53,7 @@
   /** Path prefix of the route to the next service; undefined for the last service. */
   readonly nextPath: string | undefined;
   readonly outboundOrigin: string;
+  readonly port: number;
 }
 
 /** Delay from the start of a deadly request to the crash, and downtime after it, in milliseconds. */
@@ -72,7 +74,9 @@
   private isDown = false;
   readonly misbehaviour: TargetMisbehaviour = { rejectedPart: 0, lostPart: 0, slowdownFactor: 1 };
   private running = 0;
-  private port = 0;
+  /** Rate limit that it announces, in requests a second. */
+  private rateLimit: number | undefined;
+  private isLeaving = false;
   private nextNested = 0;
   private readonly sockets = new Set<Socket>();
 
@@ -90,8 +94,7 @@
       target.sockets.add(socket);
       socket.once('close', () => target.sockets.delete(socket));
     });
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-    target.port = (server.address() as AddressInfo).port;
+    await target.listen();
     return target;
   }
 
@@ -101,7 +104,7 @@
 
   /** Listening address, as `HOST:PORT`. */
   get address(): string {
-    return `127.0.0.1:${this.port}`;
+    return `127.0.0.1:${this.options.port}`;
   }
 
   stop(): void {
@@ -123,21 +126,48 @@
     await pause(downMs);
     this.incarnation += 1;
     this.running = 0;
-    await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
+    this.rateLimit = undefined;
+    this.isLeaving = false;
+    await this.listen();
     this.isDown = false;
   }
 
+  /** Announces a rate limit. @param perSecond undefined to lift it */
+  announceLimit(perSecond: number | undefined): void {
+    this.rateLimit = perSecond;
+    this.context.record.announcements.onLimit(this.instance, perSecond, this.context.now());
+  }
+
+  /** Announces its shutdown in its answers for `leavingMs`, ends, and restarts after `downMs`. */
+  async leave(leavingMs: number, downMs: number): Promise<void> {
+    const { incarnation } = this;
+    this.isLeaving = true;
+    await pause(leavingMs);
+    if (this.incarnation === incarnation) await this.crash(downMs);
+  }
+
+  private async listen(): Promise<void> {
+    const { port } = this.options;
+    await new Promise<void>((resolve) => this.server.listen(port, '127.0.0.1', resolve));
+  }
+
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     message.resume();
+    if (message.url === HEALTH_PATH) {
+      this.answerHealthCheck(response);
+      return;
+    }
     const id = headerOf(message, HEADERS.requestId);
     response.setHeader(HEADERS.requestId, id);
     if (headerOf(message, HEADERS.expectedInstance) !== this.instance) {
       reject(response, STATUS_MISDIRECTED);
       return;
     }
+    this.context.record.announcements.onArrival(this.instance, id, this.context.now());
     const isRepeat = this.countArrival(id);
     const isRejected = this.context.random.next() < this.misbehaviour.rejectedPart;
     if (isRejected || this.running >= this.options.service.slots) {
+      this.announce(response);
       reject(response, STATUS_FULL);
       return;
     }
@@ -157,7 +187,26 @@
     if (this.incarnation !== incarnation || this.isDown) return;
     this.running -= 1;
     if (this.context.random.next() < this.misbehaviour.lostPart) response.socket?.destroy();
-    else response.writeHead(status).end(answerBody(id));
+    else {
+      this.announce(response);
+      response.writeHead(status).end(answerBody(id));
+    }
+  }
+
+  private answerHealthCheck(response: ServerResponse): void {
+    this.announce(response);
+    const load = `${this.running},0,${this.options.service.slots}`;
+    response
+      .writeHead(this.isLeaving ? STATUS_FULL : STATUS_OK, {
+        [HEADERS.instanceId]: this.instance,
+        [HEADERS.load]: load,
+      })
+      .end();
+  }
+
+  private announce(response: ServerResponse): void {
+    if (this.rateLimit !== undefined) response.setHeader(HEADERS.rateLimit, this.rateLimit);
+    if (this.isLeaving) response.setHeader(HEADERS.leaving, '1');
   }
 
   /** Runs a deadly request and crashes. */
