--- a/lab/simulator/sidecars/sim-gate-services.ts
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -6,7 +6,7 @@
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { KindImpact } from '../../../src/admission/kind-impact.js';
 import { KindLimiter } from '../../../src/admission/kind-limiter.js';
-import { TargetRateLimiter } from '../../../src/admission/target-rate-limiter.js';
+import type { TargetRateLimiter } from '../../../src/admission/target-rate-limiter.js';
 import { KindCircuitBreaker } from '../../../src/admission/kind-circuit-breaker.js';
 import type { SlotLimiter } from '../../../src/admission/slot-limiter.js';
 import type { Clock } from '../../../src/common/clock.js';
@@ -23,6 +23,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly limiter: SlotLimiter;
+  readonly rateLimiter: TargetRateLimiter;
   /** Congestion of the calls that the target makes. */
   readonly downstream: CongestionLevel;
   readonly retryBudget: ServiceRetryBudget;
@@ -30,14 +31,14 @@
 }
 
 export function simGateServices(options: SimGateOptions): GateServices {
-  const { clock, random, limiter, downstream, retryBudget, repeatedRuns } = options;
+  const { clock, random, limiter, rateLimiter, downstream, retryBudget, repeatedRuns } = options;
   return {
     clock,
     admission: new AdmissionController({
       clock,
       random,
       limiter,
-      rateLimiter: new TargetRateLimiter(clock),
+      rateLimiter,
       ...GATE_SHARING,
       queueWaitMs: () => QUEUE_WAIT_MS,
     }),
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -5,6 +5,7 @@
 import { clientRetryAfterSeconds } from '../../../src/call/retry-after.js';
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
+import { TargetRateLimiter } from '../../../src/admission/target-rate-limiter.js';
 import { GateCallHooks } from '../../../src/gate/gate-call-hooks.js';
 import {
   createGateContext,
@@ -79,7 +80,10 @@
 export class SimSidecar {
   readonly record: EndpointRecord;
   private readonly index: number;
+  /** Times of arrivals at the target, in milliseconds. */
+  readonly arrivalTimes: number[] = [];
   private readonly limiter = new SlotLimiter(USABLE_SLOT_FRACTION);
+  private readonly rateLimiter: TargetRateLimiter;
   private readonly origins: OriginTracker;
   private readonly downstream: CongestionLevel;
   private readonly retryBudget: ServiceRetryBudget;
@@ -110,6 +114,7 @@
       state: 'ready',
     };
     this.limiter.setSlots(service.slots);
+    this.rateLimiter = new TargetRateLimiter(clock);
     this.downstream = new CongestionLevel(clock);
     this.directory = new ServiceDirectory({
       clock,
@@ -132,6 +137,7 @@
       clock,
       random,
       limiter: this.limiter,
+      rateLimiter: this.rateLimiter,
       downstream: this.downstream,
       retryBudget: this.retryBudget,
       repeatedRuns: this.repeatedRuns,
@@ -150,6 +156,11 @@
     return this.activeWork.length;
   }
 
+  /** The target announces a rate limit. @param perSecond undefined to lift it */
+  announceLimit(perSecond: number | undefined): void {
+    this.rateLimiter.setLimit(perSecond);
+  }
+
   /** Simulates a restart of the sidecar process, which loses the arrivals counted for the retry budget. */
   restart(): void {
     this.retryBudget.reset();
@@ -286,6 +297,7 @@
 
   /** @returns whether the arrival is a repeat */
   private countArrival(lineage: RequestLineage): boolean {
+    this.arrivalTimes.push(this.world.clock.now());
     const isRepeat = lineage.recordArrival();
     if (isRepeat) this.world.arrivals.onRepeat(this.service.name, this.world.clock.now());
     return isRepeat;
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -198,7 +198,10 @@
       return;
     }
     sent.loan.settle(outcome.unspentRetries);
-    this.continueWithFirst('answered', outcome);
+    this.continueWithFirst(toEndpointResult(outcome), outcome);
+    if (outcome.refusal !== 'target-rate-limit') return;
+    this.request.allowance.refund();
+    this.sendHedgedRequest();
   }
 
   private recordRefusal(endpoint: EndpointRecord, outcome: Outcome): void {
--- a/src/retry/retry-allowance.ts
+++ b/src/retry/retry-allowance.ts
@@ -25,6 +25,11 @@
     return true;
   }
 
+  /** Returns a retry whose attempt reached no target. */
+  refund(): void {
+    this.remaining += 1;
+  }
+
   /** Ends the allowance: no retries can be spent or lent afterwards. @returns the retries that were left */
   end(): number {
     const left = this.remaining;
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -9,7 +9,7 @@
 import type { EndpointRecord, EndpointResult } from '../call/endpoint.js';
 import { EndpointView } from './endpoint-view.js';
 import { LatencyBaseline } from './latency-baseline.js';
-import { chooseSubset } from './subset.js';
+import { chooseSubset, SUBSET_SIZE } from './subset.js';
 import { chooseTarget } from './target-choice.js';
 
 /** Smoothing factor of the mean of the reported limits, an exponential moving average over about five reports. */
@@ -65,6 +65,9 @@
 
 export class Balancer {
   private views = new Map<string, EndpointView>();
+  private ready: readonly EndpointRecord[] = [];
+  /** Larger than usual after all endpoints of the usual subset were at their rate limits. */
+  private subsetSize = SUBSET_SIZE;
   private readonly baseline = new LatencyBaseline();
   private readonly leavingUntil = new Map<string, number>();
   private hasSeenEndpoints = false;
@@ -75,21 +78,9 @@
 
   /** Replaces the list of the service's endpoints. */
   update(records: readonly EndpointRecord[]): void {
-    const now = this.options.clock.now();
-    const ready = records.filter((record) => record.state === 'ready');
-    const subset = chooseSubset(this.options.callerId, this.options.callerZone, ready);
-    const views = new Map<string, EndpointView>();
-    for (const record of subset) {
-      const existing = this.views.get(record.id);
-      if (existing === undefined) {
-        views.set(record.id, new EndpointView(record, this.hasSeenEndpoints ? now : -Infinity));
-      } else {
-        existing.update(record, now);
-        views.set(record.id, existing);
-      }
-    }
-    this.views = views;
-    this.hasSeenEndpoints ||= subset.length > 0;
+    this.ready = records.filter((record) => record.state === 'ready');
+    this.subsetSize = SUBSET_SIZE;
+    this.chooseViews();
   }
 
   /** Average latency of a traffic class over all endpoints, in milliseconds; undefined before enough answers. */
@@ -109,7 +100,7 @@
   pick(excluded: ReadonlySet<string>, request: PickRequest): EndpointPick | undefined {
     const now = this.options.clock.now();
     const { trafficClass, priority } = request;
-    const view = chooseTarget(this.candidates(excluded, priority, now), {
+    const view = chooseTarget(this.candidatesOf(excluded, priority, now), {
       callerZone: this.options.callerZone,
       context: { now, slowStartMs: this.options.slowStartMs(), meanLimit: this.meanLimit },
       random: this.options.random,
@@ -135,6 +126,24 @@
     return ahead.length === 0 ? undefined : Math.min(...ahead);
   }
 
+  private chooseViews(): void {
+    const { callerId, callerZone, clock } = this.options;
+    const now = clock.now();
+    const subset = chooseSubset(callerId, callerZone, this.ready, this.subsetSize);
+    const views = new Map<string, EndpointView>();
+    for (const record of subset) {
+      const existing = this.views.get(record.id);
+      if (existing === undefined) {
+        views.set(record.id, new EndpointView(record, this.hasSeenEndpoints ? now : -Infinity));
+      } else {
+        existing.update(record, now);
+        views.set(record.id, existing);
+      }
+    }
+    this.views = views;
+    this.hasSeenEndpoints ||= subset.length > 0;
+  }
+
   private onEnd(view: EndpointView, end: PickEnd): void {
     const { trafficClass, priority, startedAt, result, outcome } = end;
     const now = this.options.clock.now();
@@ -156,6 +165,22 @@
     if (leastRatio > view.latencyRatio(now)) view.onLatency(leastRatio, now);
   }
 
+  /** Extends the subset while all of its endpoints are at their rate limits: others may have room. */
+  private candidatesOf(
+    excluded: ReadonlySet<string>,
+    priority: CallPriority,
+    now: number,
+  ): EndpointView[] {
+    let candidates = this.candidates(excluded, priority, now);
+    while (candidates.length === 0 && this.subsetSize < this.ready.length) {
+      if (this.pausedForMs(priority) === undefined) break;
+      this.subsetSize += SUBSET_SIZE;
+      this.chooseViews();
+      candidates = this.candidates(excluded, priority, now);
+    }
+    return candidates;
+  }
+
   private candidates(
     excluded: ReadonlySet<string>,
     priority: CallPriority,
