--- a/test/lab/soak.test.ts
+++ b/test/lab/soak.test.ts
@@ -2,7 +2,10 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import type { AnnouncedRateLimit } from '../../src/admission/announced-rate-limit.js';
+import type { TargetAnnouncement } from '../../src/http/target-announcement.js';
 import { drawCrashPlan } from '../../lab/soak/crash-plan.js';
+import { drawLimitPlan } from '../../lab/soak/limit-plan.js';
 import { drawStopPlan } from '../../lab/soak/stop-plan.js';
 import { drawPlan } from '../../lab/soak/soak-plan.js';
 import { answerBody, Check, SoakRecord, type SoakBounds } from '../../lab/soak/soak-record.js';
@@ -12,6 +15,8 @@
 const CI_DURATION_MS = 20_000;
 const CI_STOP_SEED = 106;
 const CI_STOP_DURATION_MS = 24_000;
+const CI_LIMIT_SEED = 1;
+const CI_LIMIT_DURATION_MS = 25_000;
 const CI_CRASH_SEED = 1;
 const CI_CRASH_DURATION_MS = 22_000;
 /** Minimum number of requests around stops for a meaningful run. */
@@ -27,6 +32,19 @@
 /** Fields shared by all outcomes. */
 const OF_CLIENT = { machine: 0, isNested: false, deadlineMs: 2_500, hasTimedOut: false };
 
+/** An announcement of a rate limit or of a shutdown. */
+function announced({
+  perSecond,
+  isLeaving = false,
+}: {
+  perSecond?: number;
+  isLeaving?: boolean;
+}): TargetAnnouncement {
+  const rateLimit: AnnouncedRateLimit =
+    perSecond === undefined ? { type: 'none' } : { type: 'limited', perSecond };
+  return { rateLimit, isLeaving };
+}
+
 describe('the checks of a soak', () => {
   /** Returns the failed checks of a run with ten successful requests, one with `status`, and the events of `also`. */
   function found(status: number, also: (record: SoakRecord) => void = () => undefined): Check[] {
@@ -124,12 +142,52 @@
         }),
     },
   );
+  cases.push(
+    {
+      check: Check.TargetRateLimit,
+      run: () =>
+        found(200, ({ announcements }) => {
+          announcements.onArrival('i-1', 'first', 0);
+          announcements.onLimit('i-1', 2, 0);
+          announcements.onRelayed('first', announced({ perSecond: 2 }), 0);
+          // Allowed are 1.1 times the limit, and 5: 13.8 in four seconds.
+          for (let each = 0; each < 14; each += 1) {
+            announcements.onArrival('i-1', `r-${each}`, 3_100 + each * 250);
+          }
+          announcements.onLimit('i-1', undefined, 8_000);
+        }),
+    },
+    {
+      check: Check.LeavingTarget,
+      run: () =>
+        found(200, ({ announcements }) => {
+          announcements.onArrival('i-1', 'first', 0);
+          announcements.onRelayed('first', announced({ isLeaving: true }), 100);
+          announcements.onArrival('i-1', 'late', 2_101);
+        }),
+    },
+  );
   for (const { check, run } of cases) {
     it(`find a run in which this does not hold: ${check}`, () => {
       expect(run()).to.deep.equal([check]);
     });
   }
 
+  it('find nothing in a target whose limit is kept, lowered and lifted', () => {
+    const checks = found(200, ({ announcements }) => {
+      announcements.onArrival('i-1', 'first', 0);
+      announcements.onLimit('i-1', 2, 0);
+      announcements.onRelayed('first', announced({ perSecond: 2 }), 0);
+      for (let each = 0; each < 13; each += 1) {
+        announcements.onArrival('i-1', `r-${each}`, 3_100 + each * 250);
+      }
+      announcements.onLimit('i-1', 1, 6_400);
+      announcements.onLimit('i-1', undefined, 8_000);
+      for (let each = 0; each < 50; each += 1) announcements.onArrival('i-1', `l-${each}`, 8_100);
+    });
+    expect(checks).to.deep.equal([]);
+  });
+
   /** Returns the failed checks for a target's call sent `afterMs` after the stop signal and ended 100 ms later. */
   function foundOfCall(
     afterMs: number,
@@ -206,6 +264,17 @@
     rmSync(folder, { recursive: true, force: true });
   });
 
+  it('keeps the rate limits of targets, and sends nothing to those that have left', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
+    const plan = drawLimitPlan(CI_LIMIT_SEED, CI_LIMIT_DURATION_MS);
+    const { violations, checkCounts: chances } = await runSoak(plan, folder);
+    expect(violations, `logs: ${folder}`).to.deep.equal([]);
+    for (const check of [Check.TargetRateLimit, Check.LeavingTarget]) {
+      expect(chances.get(check), check).to.be.above(0);
+    }
+    rmSync(folder, { recursive: true, force: true });
+  });
+
   it('breaks no promise', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
     const { violations, checkCounts: chances } = await runSoak(
