--- a/src/admission/announced-rate-limit.ts
+++ b/src/admission/announced-rate-limit.ts
@@ -27,18 +27,12 @@
   private limit: number | undefined;
   private latestSentAt = -Infinity;
   private malformedText: string | undefined;
-  private hasAnswer = false;
 
   /** The limit in requests a second; undefined if the target has none, or has not answered yet. */
   get perSecond(): number | undefined {
     return this.limit;
   }
 
-  /** Whether the target has answered, so that the limit is known. */
-  get isKnown(): boolean {
-    return this.hasAnswer;
-  }
-
   /**
    * Records an answer.
    * @param sentAt when its request was sent, in monotonic milliseconds
@@ -47,7 +41,6 @@
   onAnswer(announced: AnnouncedRateLimit, sentAt: number): RateLimitChange | undefined {
     if (sentAt < this.latestSentAt) return undefined;
     this.latestSentAt = sentAt;
-    this.hasAnswer = true;
     return this.apply(announced);
   }
 
--- a/src/admission/target-rate-limiter.ts
+++ b/src/admission/target-rate-limiter.ts
@@ -5,7 +5,7 @@
  * | state     | when                                                            | admits                         |
  * | --------- | --------------------------------------------------------------- | ------------------------------ |
  * | held      | after a start of the process, until its target has been probed  | nothing                        |
- * | trial     | after a start of the process, until the first answer to a call  | a few calls to get that answer |
+ * | trial     | after that, and with another target, until its first answer     | a few calls to get that answer |
  * | limited   | the target announces a limit                                    | the limit, evenly spaced       |
  * | unlimited | the target announces no limit                                   | everything                     |
  *
--- a/src/programs/node-parts.ts
+++ b/src/programs/node-parts.ts
@@ -35,6 +35,8 @@
 
 /** Maximum connections to one node of another service. */
 const CONNECTIONS_PER_NODE = 128;
+/** Port of an HTTP origin that names none. */
+const DEFAULT_HTTP_PORT = 80;
 
 /** Reasons for which a node takes no new calls. It is leaving if at least one of them holds. */
 export class LeavingState {
@@ -147,6 +149,8 @@
   onLeaving: () => void,
 ): Pick<GateParts, 'announcements' | 'leavingTarget'> {
   const { origin } = settings.target;
+  const { hostname, port } = new URL(origin);
+  const address = `${hostname}:${port || DEFAULT_HTTP_PORT}`;
   const announcements = new TargetAnnouncements(
     rateLimiter,
     () => {
@@ -159,11 +163,7 @@
   let targets = 0;
   const onNewTarget = (): void =>
     announcements.onTarget({ instance: origin, born: (targets += 1) });
-  const leavingTarget = new LeavingTarget(
-    clock,
-    () => refusesConnections(new URL(origin).host),
-    onNewTarget,
-  );
+  const leavingTarget = new LeavingTarget(clock, () => refusesConnections(address), onNewTarget);
   onNewTarget();
   return { announcements, leavingTarget };
 }
--- a/test/admission/announced-rate-limit.test.ts
+++ b/test/admission/announced-rate-limit.test.ts
@@ -17,13 +17,6 @@
     tracker = new RateLimitTracker();
   });
 
-  it('is unknown before the first answer', () => {
-    expect(tracker.isKnown).to.equal(false);
-    tracker.onAnswer(NONE, 0);
-    expect(tracker.isKnown).to.equal(true);
-    expect(tracker.perSecond).to.equal(undefined);
-  });
-
   it('is reported once for each change', () => {
     expect(tracker.onAnswer(NONE, 0)).to.equal(undefined);
     expect(tracker.onAnswer(limited(5), 1)).to.deep.equal({ type: 'announced', perSecond: 5 });
--- a/test/admission/target-rate-limiter.test.ts
+++ b/test/admission/target-rate-limiter.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { worstWindow } from '../../lab/model/worst-window.js';
 import { TargetRateLimiter } from '../../src/admission/target-rate-limiter.js';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
+import { mostInWindow } from '../support/most-in-window.js';
 
 const WINDOW_MS = 4_000;
 const URGENT = 1;
@@ -13,11 +13,6 @@
   return (1.1 * perSecond * WINDOW_MS) / 1_000 + 5;
 }
 
-/** Largest number of times in any window. */
-function mostIn(times: readonly number[], windowMs = WINDOW_MS): number {
-  return worstWindow(times, windowMs).count;
-}
-
 describe('the rate limiter of a target', () => {
   let clock: VirtualClock;
   let limiter: TargetRateLimiter;
@@ -44,9 +39,9 @@
     it(`admits a limit of ${perSecond} a second evenly, and nearly all of it`, () => {
       limiter.setLimit(perSecond);
       const admitted = offerFor(40_000, 1);
-      expect(mostIn(admitted)).to.be.at.most(allowedCalls(perSecond));
+      expect(mostInWindow(admitted, WINDOW_MS)).to.be.at.most(allowedCalls(perSecond));
       expect(admitted.length).to.be.at.least(Math.floor(0.9 * 40 * perSecond));
-      expect(mostIn(admitted, 500)).to.be.at.most(5 + perSecond);
+      expect(mostInWindow(admitted, 500)).to.be.at.most(5 + perSecond);
     });
   }
 
@@ -54,7 +49,7 @@
     limiter.setLimit(0);
     const admitted = offerFor(20_000, 10);
     expect(admitted.length).to.be.within(4, 6);
-    expect(mostIn(admitted)).to.be.at.most(allowedCalls(0));
+    expect(mostInWindow(admitted, WINDOW_MS)).to.be.at.most(allowedCalls(0));
   });
 
   it('is bounded by a limit that is as high as none', () => {
@@ -76,7 +71,7 @@
       limiter.setLimit(step % 2 === 0 ? 5 : 10);
       admitted.push(...offerFor(250, 5));
     }
-    expect(mostIn(admitted)).to.be.at.most(allowedCalls(7.5));
+    expect(mostInWindow(admitted, WINDOW_MS)).to.be.at.most(allowedCalls(7.5));
   });
 
   it('keeps the bound for any demand and any limit, whenever the process restarts', () => {
@@ -104,7 +99,7 @@
             }
             clock.advance(gapMs);
           }
-          expect(mostIn(admitted)).to.be.at.most(allowedCalls(rate));
+          expect(mostInWindow(admitted, WINDOW_MS)).to.be.at.most(allowedCalls(rate));
         },
       ),
       { seed: 49, numRuns: 300 },
--- a/test/lab/target-rate-limit.test.ts
+++ b/test/lab/target-rate-limit.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
-import { worstWindow } from '../../lab/model/worst-window.js';
 import { simRoute, type CallGraph } from '../../lab/simulator/sidecars/call-graph.js';
 import { SidecarWorld } from '../../lab/simulator/sidecars/sidecar-world.js';
+import { mostInWindow } from '../support/most-in-window.js';
 
 const SEED = 49;
 const WINDOW_MS = 4_000;
@@ -76,8 +76,7 @@
       const world = new SidecarWorld(graph(4, ingresses), SEED);
       const { urgent, usual } = run(world, [0]);
       const arrivals = arrivalsAt(world, 0);
-      const { count } = worstWindow(arrivals, WINDOW_MS);
-      expect(count).to.be.at.most(allowedArrivals(LIMIT_PER_SECOND));
+      expect(mostInWindow(arrivals, WINDOW_MS)).to.be.at.most(allowedArrivals(LIMIT_PER_SECOND));
       expect(arrivals.length).to.be.at.least((0.9 * LIMIT_PER_SECOND * RUN_MS) / 1_000);
       expect(urgent.served + usual.served).to.be.at.least(0.99 * (urgent.sent + usual.sent));
     });
@@ -88,9 +87,7 @@
     const { urgent, usual } = run(world, indexes(0, 4));
     for (const index of indexes(0, 4)) {
       const arrivals = arrivalsAt(world, index);
-      expect(worstWindow(arrivals, WINDOW_MS).count).to.be.at.most(
-        allowedArrivals(LIMIT_PER_SECOND),
-      );
+      expect(mostInWindow(arrivals, WINDOW_MS)).to.be.at.most(allowedArrivals(LIMIT_PER_SECOND));
       expect(arrivals.length).to.be.at.least((0.9 * LIMIT_PER_SECOND * RUN_MS) / 1_000);
     }
     expect(urgent.served / urgent.sent, 'urgent').to.be.at.least(0.95);
--- a/test/support/announcing-target.ts
+++ b/test/support/announcing-target.ts
@@ -1,8 +1,8 @@
 /** A target over HTTP that announces a rate limit or its shutdown in every answer, and records when requests arrive. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { worstWindow } from '../../lab/model/worst-window.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
+import { mostInWindow } from './most-in-window.js';
 
 const HEADERS = DEFAULT_TARGET_HEADERS;
 const HEALTH_PATH = '/health';
@@ -42,10 +42,8 @@
 
   /** Largest number of arrivals in any window after a time, both in milliseconds. */
   mostArrivals(windowMs: number, from = 0): number {
-    return worstWindow(
-      this.arrivals.filter((at) => at >= from),
-      windowMs,
-    ).count;
+    const arrivals = this.arrivals.filter((at) => at >= from);
+    return mostInWindow(arrivals, windowMs);
   }
 
   stop(): void {
