HTTP servers: read nothing more from a connection that was answered 408 or 400

What clients saw: a request answered 408, which promises that it has not run, and that ran. Cause: a connection whose head is late is answered and half-closed, but its other half was read on: a request that crossed the answer was handled, and its client took the 408 for its answer. Connections that never sent a byte, such as one opened for a request that was given up, are answered after the header timeout too. Change: nothing more is read after such an answer; a connection that has sent nothing is closed without one. Ruled out: the timer of the body reader, which is cleared with the body; refusals of the ingress, none in its log for this id.

--- a/src/http/listening-server.ts
+++ b/src/http/listening-server.ts
@@ -31,12 +31,17 @@
 };
 const BAD_REQUEST = '400 Bad Request';
 
-/** Answers a request that could not be parsed, without echoing any of it. */
+/**
+ * Answers a request that could not be parsed, without echoing any of it, and reads nothing more from its connection: a request
+ * that crosses the answer would be handled although its client takes the answer for its own. A connection without any request
+ * is closed without an answer for the same reason.
+ */
 function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
+  if (error.code === 'ECONNRESET' || !socket.writable || socket.bytesRead === 0) {
     socket.destroy();
     return;
   }
+  socket.pause();
   const status = CLIENT_ERROR_STATUS[error.code ?? ''] ?? BAD_REQUEST;
   const body = JSON.stringify({
     type: 'urn:shoredoor:problem:bad-request',
@@ -48,6 +53,7 @@
     `HTTP/1.1 ${status}\r\nContent-Type: application/problem+json\r\n` +
       `Content-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`,
   );
+  socket.destroySoon();
 }
 
 export class ListeningServer {
