Rate limits: believe a health check without a limit enough to send more calls after a start

Cause: one call, and one every two seconds, until the first answer, at all gates at once. Change: if the target has answered its health check and named no limit, four calls and four a second; the old numbers hold without an answer, and at nodes. The bound is kept in both (property test, real sockets). Soak: an answer is assigned to the instance that gave it.

--- a/lab/soak/announcement-ledger.ts
+++ b/lab/soak/announcement-ledger.ts
@@ -43,13 +43,10 @@
 
 export class AnnouncementLedger {
   private readonly instances = new Map<string, InstanceHistory>();
-  /** Instance at which each request arrived last, by request id. */
-  private readonly instanceOf = new Map<string, string>();
 
   /** A request arrives at an instance. */
-  onArrival(instance: string, id: string, at: number): void {
+  onArrival(instance: string, at: number): void {
     this.historyOf(instance).arrivals.push(at);
-    this.instanceOf.set(id, instance);
   }
 
   /** An instance begins to announce a rate limit, or another one. @param perSecond undefined if it stops */
@@ -63,10 +60,8 @@
     else limits.push({ steps: [{ perSecond, at }], relayedAt: undefined, endedAt: Infinity });
   }
 
-  /** An answer has reached a caller. @param id id of the request */
-  onRelayed(id: string, { rateLimit, isLeaving }: TargetAnnouncement, at: number): void {
-    const instance = this.instanceOf.get(id);
-    if (instance === undefined) return;
+  /** An answer of an instance has reached a caller. */
+  onRelayed(instance: string, { rateLimit, isLeaving }: TargetAnnouncement, at: number): void {
     const history = this.historyOf(instance);
     if (isLeaving) history.leavingRelayedAt ??= at;
     const last = history.limits.at(-1);
--- a/lab/soak/exchange-result.ts
+++ b/lab/soak/exchange-result.ts
@@ -1,7 +1,7 @@
 /** The outcome of an HTTP exchange as seen by the client. */
 import type { Dispatcher } from 'undici';
 import { readAnnouncement, type TargetAnnouncement } from '../../src/http/target-announcement.js';
-import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
+import { DEFAULT_TARGET_HEADERS, headerValue } from '../../src/http/target-headers.js';
 
 export interface ExchangeResult {
   /** Status of the response; 0 if the response was not received completely. */
@@ -9,6 +9,8 @@
   readonly body: string;
   /** Whether the client's own timeout ended the exchange. */
   readonly hasTimedOut: boolean;
+  /** Id of the instance that answered; undefined if none did. */
+  readonly instance?: string | undefined;
   /** What the target announces in the response; undefined if the response was not received completely. */
   readonly announcement?: TargetAnnouncement;
 }
@@ -17,7 +19,8 @@
 export async function readResponse(response: Dispatcher.ResponseData): Promise<ExchangeResult> {
   const announcement = readAnnouncement(DEFAULT_TARGET_HEADERS, response.headers);
   const body = await response.body.text();
-  return { status: response.statusCode, body, hasTimedOut: false, announcement };
+  const instance = headerValue(response.headers, DEFAULT_TARGET_HEADERS.instanceId);
+  return { status: response.statusCode, body, hasTimedOut: false, instance, announcement };
 }
 
 /** Result of an exchange that failed: connection refused or reset, or timeout. */
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -127,8 +127,9 @@
 
   onRequestEnded(outcome: RequestOutcome): void {
     this.outcomes.push(outcome);
-    const { id, announcement, endedAt } = outcome;
-    if (announcement !== undefined) this.announcements.onRelayed(id, announcement, endedAt);
+    const { instance, announcement, endedAt } = outcome;
+    if (instance === undefined || announcement === undefined) return;
+    this.announcements.onRelayed(instance, announcement, endedAt);
   }
 
   /** A machine is affected by a fault for a time. */
--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -163,7 +163,7 @@
       reject(response, STATUS_MISDIRECTED);
       return;
     }
-    this.context.record.announcements.onArrival(this.instance, id, this.context.now());
+    this.context.record.announcements.onArrival(this.instance, this.context.now());
     const isRepeat = this.countArrival(id);
     const isRejected = this.context.random.next() < this.misbehaviour.rejectedPart;
     if (isRejected || this.running >= this.options.service.slots) {
@@ -196,15 +196,11 @@
   private answerHealthCheck(response: ServerResponse): void {
     this.announce(response);
     const load = `${this.running},0,${this.options.service.slots}`;
-    response
-      .writeHead(this.isLeaving ? STATUS_FULL : STATUS_OK, {
-        [HEADERS.instanceId]: this.instance,
-        [HEADERS.load]: load,
-      })
-      .end();
+    response.writeHead(this.isLeaving ? STATUS_FULL : STATUS_OK, { [HEADERS.load]: load }).end();
   }
 
   private announce(response: ServerResponse): void {
+    response.setHeader(HEADERS.instanceId, this.instance);
     if (this.rateLimit !== undefined) response.setHeader(HEADERS.rateLimit, this.rateLimit);
     if (this.isLeaving) response.setHeader(HEADERS.leaving, '1');
   }
--- a/src/admission/target-rate-limiter.ts
+++ b/src/admission/target-rate-limiter.ts
@@ -29,8 +29,10 @@
   | { readonly type: 'limited'; readonly bucket: TokenBucket }
   | { readonly type: 'unlimited' };
 
-/** Calls before the first answer; few, since others may have been told of any limit and the process may restart often. */
-const TRIAL_RATE: TokenBucketRate = { perSecond: 0.5, capacity: 1 };
+/** Calls before the first answer if nothing is known: few, since the process may restart often while callers go on sending. */
+const BLIND_TRIAL_RATE: TokenBucketRate = { perSecond: 0.5, capacity: 1 };
+/** Calls before the first answer if a health check named no limit, or the target is new. */
+const TRIAL_RATE: TokenBucketRate = { perSecond: 4, capacity: 4 };
 
 /** Lowest rate in calls a second. A target with a limit of 0 still gets calls, whose answers tell when the limit rises. */
 const MIN_CALLS_PER_SECOND = 0.25;
@@ -71,14 +73,19 @@
     this.state = { type: 'held' };
   }
 
-  /** The target has been probed, or cannot be. */
-  release(): void {
-    if (this.state.type === 'held') this.startTrial();
+  /**
+   * The target has been probed, or cannot be.
+   * @param hasAnswered whether it has answered a health check, in which a target with a limit names it
+   */
+  release(hasAnswered: boolean): void {
+    if (this.state.type === 'held') {
+      this.startTrial(hasAnswered ? TRIAL_RATE : BLIND_TRIAL_RATE);
+    }
   }
 
   /** There is another target, whose limit is not known. */
   onTargetReplaced(): void {
-    if (this.state.type !== 'held') this.startTrial();
+    if (this.state.type !== 'held') this.startTrial(TRIAL_RATE);
   }
 
   /** Sets the limit that the target announces. @param perSecond 0 or more; undefined for none */
@@ -136,11 +143,9 @@
     return returnAt - now;
   }
 
-  private startTrial(): void {
-    this.state = {
-      type: 'trial',
-      bucket: new TokenBucket(TRIAL_RATE, TRIAL_RATE.capacity, this.clock.now()),
-    };
+  private startTrial(rate: TokenBucketRate): void {
+    const bucket = new TokenBucket(rate, rate.capacity, this.clock.now());
+    this.state = { type: 'trial', bucket };
   }
 
   private nextReturnAt(now: number, waitMs: number): number {
--- a/src/membership/target-announcements.ts
+++ b/src/membership/target-announcements.ts
@@ -43,7 +43,8 @@
       this.names = new Set();
       this.tracker = new RateLimitTracker();
       this.isLeaving = false;
-      this.limiter.onTargetReplaced();
+      // The first target may have announced a limit to others before this process was started.
+      if (this.target !== undefined) this.limiter.onTargetReplaced();
     }
     this.target = target;
     this.names.add(incarnationName(target));
--- a/src/programs/node-parts.ts
+++ b/src/programs/node-parts.ts
@@ -123,6 +123,9 @@
   const { clock, random, settings } = base;
   const limiter = new AdaptiveLimiter(DEFAULT_SERVICE_SPEC.concurrency, random);
   const rateLimiter = new TargetRateLimiter(clock);
+  rateLimiter.hold();
+  // Targets of nodes are not probed.
+  rateLimiter.release(false);
   const admission = new AdmissionController({
     clock,
     random,
--- a/src/programs/sidecar-target.ts
+++ b/src/programs/sidecar-target.ts
@@ -90,13 +90,12 @@
     if (this.hasProbed || table.serviceNames().length === 0) return;
     this.hasProbed = true;
     const path = table.serviceSpec(service).healthCheckPath;
-    if (address !== undefined && address !== null && path !== undefined) {
-      await this.probe({ address, service, path });
-    }
-    rateLimiter.release();
+    const canProbe = address !== undefined && address !== null && path !== undefined;
+    rateLimiter.release(canProbe && (await this.probe({ address, service, path })));
   }
 
-  private async probe(target: ProbedTarget): Promise<void> {
+  /** @returns whether the current target, or the next one, has answered */
+  private async probe(target: ProbedTarget): Promise<boolean> {
     const { lease, headers, announcements, clock } = this.getParts();
     const sentAt = clock.now();
     const answer = await probeTarget(target, headers);
@@ -104,12 +103,13 @@
       address: target.address,
       found: answer?.report?.instance,
     });
-    if (answer === undefined) return;
+    if (answer === undefined) return false;
     const { instance, report, announcement } = answer;
     const { current } = lease;
-    if (current !== undefined && current.instance !== instance) return;
+    if (current !== undefined && current.instance !== instance) return false;
     announcements.onHealthAnswer(current ?? { instance }, sentAt, announcement);
     if (report !== undefined && lease.current === undefined) lease.onReport(report);
+    return true;
   }
 
   /** Whether the target gets no new calls. */
--- a/test/admission/target-rate-limiter.test.ts
+++ b/test/admission/target-rate-limiter.test.ts
@@ -91,7 +91,7 @@
             if (restartsAt.includes(index)) {
               limiter = new TargetRateLimiter(clock);
               limiter.hold();
-              limiter.release();
+              limiter.release(false);
             }
             if (limiter.tryAcquire(USUAL)) {
               admitted.push(clock.now());
@@ -109,13 +109,19 @@
   it('admits nothing before the target has been probed, and then a few calls to learn its limit', () => {
     limiter.hold();
     expect(offerFor(500, 10)).to.have.length(0);
-    limiter.release();
+    limiter.release(false);
     const admitted = offerFor(1_000, 10);
     expect(admitted.length).to.be.within(1, 2);
     limiter.setLimit(undefined);
     expect(offerFor(1_000, 10)).to.have.length(100);
   });
 
+  it('admits more of them if a health check has named no limit', () => {
+    limiter.hold();
+    limiter.release(true);
+    expect(offerFor(1_000, 10).length).to.be.within(7, 9);
+  });
+
   it('leaves what it admits to urgent calls', () => {
     limiter.setLimit(10);
     let urgent = 0;
--- a/test/lab/soak.test.ts
+++ b/test/lab/soak.test.ts
@@ -147,12 +147,12 @@
       check: Check.TargetRateLimit,
       run: () =>
         found(200, ({ announcements }) => {
-          announcements.onArrival('i-1', 'first', 0);
+          announcements.onArrival('i-1', 0);
           announcements.onLimit('i-1', 2, 0);
-          announcements.onRelayed('first', announced({ perSecond: 2 }), 0);
+          announcements.onRelayed('i-1', announced({ perSecond: 2 }), 0);
           // Allowed are 1.1 times the limit, and 5: 13.8 in four seconds.
           for (let each = 0; each < 14; each += 1) {
-            announcements.onArrival('i-1', `r-${each}`, 3_100 + each * 250);
+            announcements.onArrival('i-1', 3_100 + each * 250);
           }
           announcements.onLimit('i-1', undefined, 8_000);
         }),
@@ -161,9 +161,9 @@
       check: Check.LeavingTarget,
       run: () =>
         found(200, ({ announcements }) => {
-          announcements.onArrival('i-1', 'first', 0);
-          announcements.onRelayed('first', announced({ isLeaving: true }), 100);
-          announcements.onArrival('i-1', 'late', 2_101);
+          announcements.onArrival('i-1', 0);
+          announcements.onRelayed('i-1', announced({ isLeaving: true }), 100);
+          announcements.onArrival('i-1', 2_101);
         }),
     },
   );
@@ -175,15 +175,15 @@
 
   it('find nothing in a target whose limit is kept, lowered and lifted', () => {
     const checks = found(200, ({ announcements }) => {
-      announcements.onArrival('i-1', 'first', 0);
+      announcements.onArrival('i-1', 0);
       announcements.onLimit('i-1', 2, 0);
-      announcements.onRelayed('first', announced({ perSecond: 2 }), 0);
+      announcements.onRelayed('i-1', announced({ perSecond: 2 }), 0);
       for (let each = 0; each < 13; each += 1) {
-        announcements.onArrival('i-1', `r-${each}`, 3_100 + each * 250);
+        announcements.onArrival('i-1', 3_100 + each * 250);
       }
       announcements.onLimit('i-1', 1, 6_400);
       announcements.onLimit('i-1', undefined, 8_000);
-      for (let each = 0; each < 50; each += 1) announcements.onArrival('i-1', `l-${each}`, 8_100);
+      for (let each = 0; each < 50; each += 1) announcements.onArrival('i-1', 8_100);
     });
     expect(checks).to.deep.equal([]);
   });
