--- a/test/programs/edge-stop.test.ts
+++ b/test/programs/edge-stop.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { request } from 'undici';
 import type { Program } from '../../src/programs/program.js';
+import { frontPolicy } from '../support/front-policy.js';
 import {
   Cleanup,
   operatorClient,
@@ -15,26 +16,7 @@
 const STOP = { drainMs: 400, timeoutMs: 600 };
 const STATUS_TOO_LATE = 504;
 
-const POLICY = {
-  kind: 'Policy' as const,
-  name: 'shop',
-  spec: {
-    groups: [{ name: 'public', share: 1, keyHashes: [] }],
-    defaultGroup: 'public',
-    kinds: [
-      {
-        name: 'read',
-        service: 'front',
-        match: [{ method: 'GET' as const, path: '/front/{id}' }],
-        importance: 'normal' as const,
-        repeatable: true,
-        internal: false,
-        deadlineMs: 5_000,
-      },
-    ],
-    retry: { allowance: 0, ratio: 0 },
-  },
-};
+const DEADLINE_MS = 5_000;
 
 /**
  * Guards against reset connections of requests that arrive while the edge drains and that have a longer deadline than the
@@ -48,7 +30,7 @@
 
   before(async () => {
     const control = await startTestControl(cleanup);
-    await operatorClient(control).put(POLICY, { changeId: 'first' });
+    await operatorClient(control).put(frontPolicy(DEADLINE_MS), { changeId: 'first' });
     const target = await startTarget(cleanup, (_message, response) => {
       if (isQuick) response.end('quick');
     });
--- a/test/programs/node-rate-limit.test.ts
+++ b/test/programs/node-rate-limit.test.ts
@@ -3,6 +3,7 @@
 import { request } from 'undici';
 import type { Program } from '../../src/programs/program.js';
 import { AnnouncingTarget } from '../support/announcing-target.js';
+import { frontPolicy } from '../support/front-policy.js';
 import {
   Cleanup,
   operatorClient,
@@ -18,26 +19,7 @@
 const ALLOWED = 1.1 * LIMIT_PER_SECOND * (WINDOW_MS / 1_000) + 5;
 const GAP_MS = 20;
 
-const POLICY = {
-  kind: 'Policy' as const,
-  name: 'shop',
-  spec: {
-    groups: [{ name: 'public', share: 1, keyHashes: [] }],
-    defaultGroup: 'public',
-    kinds: [
-      {
-        name: 'read',
-        service: 'front',
-        match: [{ method: 'GET' as const, path: '/front/{id}' }],
-        importance: 'normal' as const,
-        repeatable: true,
-        internal: false,
-        deadlineMs: 2_000,
-      },
-    ],
-    retry: { allowance: 0, ratio: 0 },
-  },
-};
+const DEADLINE_MS = 2_000;
 
 describe('a target behind edge and node', function () {
   this.timeout(30_000);
@@ -47,7 +29,7 @@
 
   before(async () => {
     const control = await startTestControl(cleanup);
-    await operatorClient(control).put(POLICY, { changeId: 'first' });
+    await operatorClient(control).put(frontPolicy(DEADLINE_MS), { changeId: 'first' });
     for (const id of ['front-1', 'front-2']) {
       const target = await AnnouncingTarget.start(id);
       cleanup.add(() => target.stop());
