--- a/src/admission/target-rate-limiter.ts
+++ b/src/admission/target-rate-limiter.ts
@@ -32,7 +32,7 @@
 /** Calls before the first answer if nothing is known: few, since the process may restart often while callers go on sending. */
 const BLIND_TRIAL_RATE: TokenBucketRate = { perSecond: 0.5, capacity: 1 };
 /** Calls before the first answer if a health check named no limit, or the target is new. */
-const TRIAL_RATE: TokenBucketRate = { perSecond: 4, capacity: 4 };
+const TRIAL_RATE: TokenBucketRate = { perSecond: 16, capacity: 8 };
 
 /** Lowest rate in calls a second. A target with a limit of 0 still gets calls, whose answers tell when the limit rises. */
 const MIN_CALLS_PER_SECOND = 0.25;
