--- a/src/admission/admission-controller.ts
+++ b/src/admission/admission-controller.ts
@@ -1,7 +1,8 @@
 /**
  * Admission control for one target: admits a call at once, queues it, or refuses it. The concurrency limiter sets how many
- * calls may be in flight, the rate limiter how many a second, `queue-wait.ts` how long and how many calls may wait, and the sharing order which waiting call is
- * admitted or refused next. Free of I/O: the clock and the random source are injected.
+ * calls may be in flight, the rate limiter how many are sent per second, `queue-wait.ts` how long and how many calls may wait,
+ * and the sharing order which waiting call is admitted or refused next. Free of I/O: the clock and the random source are
+ * injected.
  */
 import type { Clock, Timer } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
--- a/src/retry/retry-policy.ts
+++ b/src/retry/retry-policy.ts
@@ -97,7 +97,7 @@
   if (attempt.overloaded) return afterOverload(attempt, state);
   if (!state.replayable) return giveUp(GiveUpReason.NotReplayable);
   if (state.remainingMs < MIN_RETRY_TIME_MS) return giveUp(GiveUpReason.NoTime);
-  // Not limited in number: each target is tried at most once, and learned to be at its limit.
+  // Not limited in number: a call tries each target at most once.
   if (attempt.isRateLimited) return REROUTE;
   if (attempt.verdict === 'not-run') {
     if (attempt.rejectedByTarget) return retryIfAllowed(state);
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -100,7 +100,7 @@
   pick(excluded: ReadonlySet<string>, request: PickRequest): EndpointPick | undefined {
     const now = this.options.clock.now();
     const { trafficClass, priority } = request;
-    const view = chooseTarget(this.candidatesOf(excluded, priority, now), {
+    const view = chooseTarget(this.findCandidates(excluded, priority, now), {
       callerZone: this.options.callerZone,
       context: { now, slowStartMs: this.options.slowStartMs(), meanLimit: this.meanLimit },
       random: this.options.random,
@@ -166,7 +166,7 @@
   }
 
   /** Extends the subset while all of its endpoints are at their rate limits: others may have room. */
-  private candidatesOf(
+  private findCandidates(
     excluded: ReadonlySet<string>,
     priority: CallPriority,
     now: number,
