Clock: read all clocks at one moment before a difference counts as a suspension

What callers saw: a process that was stopped (SIGSTOP, a frozen virtual machine) and continued could believe that the machine had been suspended for the same time as well. All its leases and deadlines then ran out early by the time of the stop: requests that still had time were given up.

Cause: `SystemClock.now` reads the monotonic clock first and the wall clock after it. A stop between the two readings looks like a gain of the wall clock, and of the uptime, which is read later still; both agree, so the gain counted as a suspension.

Evidence: a process that looks at the clock all the time, stopped 60 times for 150 ms: 21 stops were counted as suspensions, the clock was 3.2 s ahead at the end. A process at its busiest looks less often (a look takes 0.11 us); it is rare there, and for good. New test, fails on: `does not count the time for which the process was stopped between two readings` (10,000 ms for 5,000).

Why this works: a comparison reads all clocks afresh and the monotonic and the wall clock once more after them. Where either has advanced by more than 5 ms meanwhile the reading is thrown away, at most three times; the next look tries again.

Ruled out: the order of the readings alone (any order has a later clock).

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -2,8 +2,9 @@
  * Monotonic clock and timers. Programs inject {@link SystemClock}, and the simulator a virtual clock, so that the same
  * modules run unchanged in both.
  */
-import { uptime } from 'node:os';
-import { MS_PER_SECOND } from './units.js';
+import { readClocks, readOnce, SYSTEM_SOURCES, type ClockSources } from './clock-reading.js';
+
+export type { ClockSources } from './clock-reading.js';
 
 /** A scheduled callback. */
 export interface Timer {
@@ -19,22 +20,6 @@
   schedule(delayMs: number, callback: () => void): Timer;
 }
 
-/** Clocks of the operating system; together they distinguish a suspension from a change of the wall clock. */
-export interface ClockSources {
-  /** Monotonic time; stops while the machine is suspended. */
-  monotonicMs(): number;
-  /** Time since 1970; continues during a suspension, and jumps when the clock is set. */
-  wallMs(): number;
-  /** Time since boot; continues during a suspension. Reads a file on Linux. */
-  uptimeMs(): number;
-}
-
-const SYSTEM_SOURCES: ClockSources = {
-  monotonicMs: () => performance.now(),
-  wallMs: () => Date.now(),
-  uptimeMs: () => uptime() * MS_PER_SECOND,
-};
-
 /** Shorter suspensions are ignored, as the resolution of the uptime is only 10 ms. */
 const MIN_SUSPENSION_MS = 100;
 /** Maximum difference between the advances of wall clock and uptime for a suspension to be recognised. */
@@ -53,16 +38,15 @@
   private readonly timers = new Set<SystemTimer>();
 
   constructor(private readonly sources: ClockSources = SYSTEM_SOURCES) {
-    const monotonicMs = sources.monotonicMs();
-    this.wallOffsetMs = sources.wallMs() - monotonicMs;
-    this.uptimeOffsetMs = sources.uptimeMs() - monotonicMs;
+    const { monotonicMs, wallMs, uptimeMs } = readClocks(sources) ?? readOnce(sources);
+    this.wallOffsetMs = wallMs - monotonicMs;
+    this.uptimeOffsetMs = uptimeMs - monotonicMs;
   }
 
   now(): number {
     const monotonicMs = this.sources.monotonicMs();
     const wallOffsetMs = this.sources.wallMs() - monotonicMs;
-    if (Math.abs(wallOffsetMs - this.wallOffsetMs) >= MIN_SUSPENSION_MS)
-      this.onWallOffsetChanged(wallOffsetMs, monotonicMs);
+    if (Math.abs(wallOffsetMs - this.wallOffsetMs) >= MIN_SUSPENSION_MS) this.compareClocks();
     return monotonicMs + this.suspendedMs;
   }
 
@@ -73,8 +57,12 @@
   }
 
   /** Detects a suspension, after which wall clock and uptime have advanced equally; otherwise the wall clock was set. */
-  private onWallOffsetChanged(wallOffsetMs: number, monotonicMs: number): void {
-    const uptimeOffsetMs = this.sources.uptimeMs() - monotonicMs;
+  private compareClocks(): void {
+    const reading = readClocks(this.sources);
+    if (reading === undefined) return;
+    const { monotonicMs } = reading;
+    const wallOffsetMs = reading.wallMs - monotonicMs;
+    const uptimeOffsetMs = reading.uptimeMs - monotonicMs;
     const gainedMs = uptimeOffsetMs - this.uptimeOffsetMs;
     const clocksAgree =
       Math.abs(gainedMs - (wallOffsetMs - this.wallOffsetMs)) <= MAX_CLOCK_DIFFERENCE_MS;
--- a/test/common/suspended-clock.test.ts
+++ b/test/common/suspended-clock.test.ts
@@ -13,17 +13,33 @@
   private monotonic = 1_000;
   private wall = 1_700_000_000_000;
   private uptime = 50_000;
+  private interruption: { readingsLeft: number; readonly happen: () => void } | undefined;
 
   monotonicMs(): number {
-    return this.monotonic;
+    return this.read(() => this.monotonic);
   }
 
   wallMs(): number {
-    return this.wall;
+    return this.read(() => this.wall);
   }
 
   uptimeMs(): number {
-    return this.uptime;
+    return this.read(() => this.uptime);
+  }
+
+  /** Lets something happen just after so many further readings of the clocks. */
+  interruptAfter(readings: number, happen: () => void): void {
+    this.interruption = { readingsLeft: readings, happen };
+  }
+
+  private read(clock: () => number): number {
+    const value = clock();
+    const { interruption } = this;
+    if (interruption !== undefined && --interruption.readingsLeft === 0) {
+      this.interruption = undefined;
+      interruption.happen();
+    }
+    return value;
   }
 
   run(durationMs: number): void {
@@ -57,6 +73,9 @@
   { kind: 'suspend' as const, ms: 200 },
 ];
 
+/** More readings of the clocks than one look takes. */
+const MAX_READINGS_OF_A_LOOK = 12;
+
 describe('the clock of a process', () => {
   let machine: TestMachine;
   let clock: SystemClock;
@@ -117,6 +136,26 @@
     );
   });
 
+  it('does not count the time for which the process was stopped between two readings', () => {
+    for (let readings = 1; readings <= MAX_READINGS_OF_A_LOOK; readings++) {
+      expect(elapsed(() => lookInterrupted(readings, () => machine.run(5_000)))).to.equal(5_000);
+    }
+  });
+
+  it('counts a suspension between two readings', () => {
+    for (let readings = 1; readings <= MAX_READINGS_OF_A_LOOK; readings++) {
+      expect(elapsed(() => lookInterrupted(readings, () => machine.suspend(5_000)))).to.equal(
+        5_000,
+      );
+    }
+  });
+
+  /** Looks at the clock until the interruption has happened after so many readings, and once more. */
+  function lookInterrupted(readings: number, interruption: () => void): void {
+    machine.interruptAfter(readings, interruption);
+    for (let look = 0; look <= MAX_READINGS_OF_A_LOOK; look++) clock.now();
+  }
+
   it('ends the lease of a target that has not been heard of since before', () => {
     const lease = new TargetLease(clock, 3_000, () => undefined);
     const place = { service: 'ledger', address: '127.0.0.1:1', slots: 8 };
