Clock: compare the clocks before they can differ by more than a suspension may

What callers saw: after a step of the time of day of 30 to 99 ms, or a drift of that size, a suspension of any length (5 s measured) did not count. The process then went on with expired leases, deadlines and election timeouts: work that callers had given up was sent on with time that it no longer had, targets that had left counted as ready (docs/design/clocks.md has each place).

Cause: differences below 100 ms between wall clock and monotonic clock were not examined, and stayed in the offset. A suspension was believed only if wall clock and uptime agreed to 60 ms since the last examined difference. So up to 99 ms could hide, 60 ms were tolerated, and what hid made the next suspension look like a set clock. The uptime, read at these moments alone, could move away by any amount in the same way.

The new properties on a machine whose uptime has units of 10 ms, on: a small step before ({set 53}, 1,268 ms not counted), several ({set -1}, {set -33}, {set -27}), a drift of 500 millionths (52 ms), a short suspension before (31 ms), a jump of the uptime before: all five fail.

Change: the clocks are compared from a difference of 20 ms on, and every 10 s. What can hide (a suspension and an opposite step of just under 20 ms, the resolution of the uptime) is below the 60 ms, which stay. Both offsets are replaced together; suspensions shorter than 20 ms stay in them and add up. Why it works: nothing that goes unexamined can reach the limit at which a suspension is refused. Steps alone still count 0: the uptime gains under 20 ms by them. The comparison is a module of its own, src/common/suspension-detector.ts.

Ruled out: believing the uptime alone (`believes no time since the start that does not agree with the time of day` fails), taking small changes into the wall offset alone (short suspensions then add up in the other one), a wider tolerance (what is let in by chance grows with it, and a short suspension waits for the next step).

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -4,6 +4,8 @@
  */
 import { readClocks, readOnce, SYSTEM_SOURCES, type ClockSources } from './clock-reading.js';
 
+import { SuspensionDetector, type ClockChange } from './suspension-detector.js';
+
 export type { ClockSources } from './clock-reading.js';
 
 /** A scheduled callback. */
@@ -20,10 +22,8 @@
   schedule(delayMs: number, callback: () => void): Timer;
 }
 
-/** Shorter suspensions are ignored, as the resolution of the uptime is only 10 ms. */
-const MIN_SUSPENSION_MS = 100;
-/** Maximum difference between the advances of wall clock and uptime for a suspension to be recognised. */
-const MAX_CLOCK_DIFFERENCE_MS = 60;
+/** Called for each change that a comparison of the clocks has found. */
+export type ClockChangeListener = (change: ClockChange) => void;
 
 /**
  * Clock of a process. Includes the time for which the machine was suspended: otherwise a resumed machine would use expired
@@ -32,21 +32,19 @@
  */
 export class SystemClock implements Clock {
   private suspendedMs = 0;
-  // Offsets of the other clocks from the monotonic one.
-  private wallOffsetMs: number;
-  private uptimeOffsetMs: number;
+  private readonly detector: SuspensionDetector;
   private readonly timers = new Set<SystemTimer>();
 
-  constructor(private readonly sources: ClockSources = SYSTEM_SOURCES) {
-    const { monotonicMs, wallMs, uptimeMs } = readClocks(sources) ?? readOnce(sources);
-    this.wallOffsetMs = wallMs - monotonicMs;
-    this.uptimeOffsetMs = uptimeMs - monotonicMs;
+  constructor(
+    private readonly sources: ClockSources = SYSTEM_SOURCES,
+    private readonly onChange: ClockChangeListener = () => undefined,
+  ) {
+    this.detector = new SuspensionDetector(readClocks(sources) ?? readOnce(sources));
   }
 
   now(): number {
     const monotonicMs = this.sources.monotonicMs();
-    const wallOffsetMs = this.sources.wallMs() - monotonicMs;
-    if (Math.abs(wallOffsetMs - this.wallOffsetMs) >= MIN_SUSPENSION_MS) this.compareClocks();
+    if (this.detector.needsComparison(monotonicMs, this.sources.wallMs())) this.compareClocks();
     return monotonicMs + this.suspendedMs;
   }
 
@@ -56,21 +54,16 @@
     return timer;
   }
 
-  /** Detects a suspension, after which wall clock and uptime have advanced equally; otherwise the wall clock was set. */
   private compareClocks(): void {
     const reading = readClocks(this.sources);
-    if (reading === undefined) return;
-    const { monotonicMs } = reading;
-    const wallOffsetMs = reading.wallMs - monotonicMs;
-    const uptimeOffsetMs = reading.uptimeMs - monotonicMs;
-    const gainedMs = uptimeOffsetMs - this.uptimeOffsetMs;
-    const clocksAgree =
-      Math.abs(gainedMs - (wallOffsetMs - this.wallOffsetMs)) <= MAX_CLOCK_DIFFERENCE_MS;
-    this.wallOffsetMs = wallOffsetMs;
-    this.uptimeOffsetMs = uptimeOffsetMs;
-    if (gainedMs < MIN_SUSPENSION_MS || !clocksAgree) return;
-    this.suspendedMs += gainedMs;
-    for (const timer of this.timers) timer.arm(timer.dueAt - monotonicMs - this.suspendedMs);
+    const change = reading && this.detector.compare(reading);
+    if (reading === undefined || change === undefined) return;
+    if (change.type === 'suspension') {
+      this.suspendedMs += change.uptimeGainMs;
+      const now = reading.monotonicMs + this.suspendedMs;
+      for (const timer of this.timers) timer.arm(timer.dueAt - now);
+    }
+    this.onChange(change);
   }
 }
 
--- a/test/common/suspended-clock.test.ts
+++ b/test/common/suspended-clock.test.ts
@@ -15,6 +15,9 @@
   private uptime = 50_000;
   private interruption: { readingsLeft: number; readonly happen: () => void } | undefined;
 
+  /** @param uptimeResolutionMs unit that the uptime is rounded down to */
+  constructor(private readonly uptimeResolutionMs = 0) {}
+
   monotonicMs(): number {
     return this.read(() => this.monotonic);
   }
@@ -24,7 +27,8 @@
   }
 
   uptimeMs(): number {
-    return this.read(() => this.uptime);
+    const unit = this.uptimeResolutionMs;
+    return this.read(() => (unit === 0 ? this.uptime : Math.floor(this.uptime / unit) * unit));
   }
 
   /** Lets something happen just after so many further readings of the clocks. */
@@ -73,6 +77,55 @@
   { kind: 'suspend' as const, ms: 200 },
 ];
 
+const LINUX_UPTIME_RESOLUTION_MS = 10;
+/** An earlier suspension of up to this length may be counted together with a later one. */
+const SHORT_SUSPENSION_MS = 20;
+const TOLERANCE_MS = LINUX_UPTIME_RESOLUTION_MS + SHORT_SUSPENSION_MS;
+
+/** What happens to the clocks of a machine. */
+interface ClockEvent {
+  readonly kind: 'run' | 'suspend' | 'set' | 'jump-uptime';
+  readonly ms: number;
+  /** How far the wall clock moves away from the other clocks meanwhile. */
+  readonly wallDriftMs?: number;
+}
+
+function apply(machine: TestMachine, { kind, ms, wallDriftMs = 0 }: ClockEvent): void {
+  if (kind === 'run') machine.run(ms);
+  else if (kind === 'suspend') machine.suspend(ms);
+  else if (kind === 'set') machine.setTimeOfDay(ms);
+  else machine.driftUptime(ms);
+  machine.setTimeOfDay(wallDriftMs);
+}
+
+function events(kind: ClockEvent['kind'], min: number, max: number) {
+  return fc.integer({ min, max }).map((ms): ClockEvent => ({ kind, ms }));
+}
+
+/** Changes of the wall clock in both directions. */
+function steps(min: number, max: number) {
+  return fc.oneof(events('set', min, max), events('set', -max, -min));
+}
+
+/** Events before a suspension that are not to hide it. */
+const BEFORE_SUSPENSION = {
+  'one small step of the wall clock': fc.tuple(steps(30, 99)),
+  'several small steps with time between them': fc
+    .array(fc.tuple(events('run', 1, 20_000), steps(1, 40)), { minLength: 2, maxLength: 5 })
+    .map((pairs) => pairs.flat()),
+  'a drift of the wall clock by 500 parts in a million': fc
+    .tuple(fc.integer({ min: 100_000, max: 400_000 }), fc.constantFrom(-0.0005, 0.0005))
+    .map(([ms, drift]): ClockEvent[] => [{ kind: 'run', ms, wallDriftMs: ms * drift }]),
+  'suspensions that are too short to count': fc.array(events('suspend', 1, 95), {
+    minLength: 1,
+    maxLength: 5,
+  }),
+  'a jump of the uptime that no step accompanies': fc.tuple(
+    events('jump-uptime', 61, 40_000),
+    events('run', 10_000, 20_000),
+  ),
+};
+
 /** More readings of the clocks than one look takes. */
 const MAX_READINGS_OF_A_LOOK = 12;
 
@@ -156,6 +209,40 @@
     for (let look = 0; look <= MAX_READINGS_OF_A_LOOK; look++) clock.now();
   }
 
+  for (const [name, before] of Object.entries(BEFORE_SUSPENSION)) {
+    it(`counts a suspension after ${name}`, () => {
+      const suspensions = fc.integer({ min: 200, max: 5_000 });
+      fc.assert(
+        fc.property(before, suspensions, (earlier, suspendedMs) => {
+          machine = new TestMachine(LINUX_UPTIME_RESOLUTION_MS);
+          clock = createClock(machine);
+          for (const event of earlier) {
+            apply(machine, event);
+            clock.now();
+          }
+          const counted = elapsed(() => machine.suspend(suspendedMs));
+          expect(counted).to.be.within(suspendedMs - TOLERANCE_MS, suspendedMs + TOLERANCE_MS);
+        }),
+        { numRuns: 1_000 },
+      );
+    });
+  }
+
+  it('counts no steps of the wall clock of any size, however coarse the uptime is', () => {
+    const event = fc.oneof(events('run', 0, 5_000), steps(1, 99), steps(1, 90_000));
+    fc.assert(
+      fc.property(fc.array(event, { maxLength: 30 }), (all) => {
+        machine = new TestMachine(LINUX_UPTIME_RESOLUTION_MS);
+        clock = createClock(machine);
+        for (const each of all) {
+          const passed = elapsed(() => apply(machine, each));
+          expect(passed).to.be.closeTo(each.kind === 'run' ? each.ms : 0, 0.01);
+        }
+      }),
+      { numRuns: 1_000 },
+    );
+  });
+
   it('ends the lease of a target that has not been heard of since before', () => {
     const lease = new TargetLease(clock, 3_000, () => undefined);
     const place = { service: 'ledger', address: '127.0.0.1:1', slots: 8 };
