Clock: log each change of the clocks with the gains that decided it

A suspension that was taken for a set clock left no trace: an on-call engineer could not tell it from requests that were late for another reason.

Pins: three lines, the part `clock`, three sentences; the lines of running programs may hold them, as the machine's clock may be set during the test.

--- a/src/programs/control-parts.ts
+++ b/src/programs/control-parts.ts
@@ -2,7 +2,7 @@
  * Creates the parts of a control replica: the resource store and its replicated log, the member table, the periodic checks
  * and the HTTP APIs.
  */
-import { SystemClock, type Clock } from '../common/clock.js';
+import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
 import type { ReplicaHost } from '../consensus/replica-host.js';
 import { AccessTokens } from '../control/access-tokens.js';
@@ -27,6 +27,7 @@
 import { WatchStreams } from '../control/watch-streams.js';
 import { CrashEvidence } from '../quarantine/crash-evidence.js';
 import type { ControlSettings } from '../settings/control-settings.js';
+import { createProcessClock } from './clock-logger.js';
 import { createReplicaHost } from './control-replica.js';
 import type { RequestHandlers } from './control-routes.js';
 
@@ -93,7 +94,7 @@
 }
 
 function createStoreParts(settings: ControlSettings, logger: Logger): StoreParts {
-  const clock = new SystemClock();
+  const clock = createProcessClock(logger);
   const store = new ResourceStore();
   const notifier = new ChangeNotifier(clock);
   const host = createReplicaHost(settings, clock, store, notifier, logger.part('replication'));
--- a/src/programs/edge-program.ts
+++ b/src/programs/edge-program.ts
@@ -6,7 +6,6 @@
 import { EdgeServer } from '../edge/edge-server.js';
 import { OutboundRouter } from '../outbound/outbound-router.js';
 import { StopPhase, StopProgress, stopTimes } from '../call/stop-phase.js';
-import { SystemClock } from '../common/clock.js';
 import type { ConfigurationView } from '../follower/configuration-view.js';
 import type { Follower } from '../follower/follower.js';
 import { ConnectionPools } from '../http/connection-pools.js';
@@ -24,6 +23,7 @@
   followerReadiness,
   type ProcessContext,
 } from './follower-setup.js';
+import { createProcessClock } from './clock-logger.js';
 import { processRandom } from './process-random.js';
 import { delay, finishesWithin, type Program } from './program.js';
 
@@ -59,7 +59,7 @@
 }
 
 function createParts(settings: EdgeSettings, logger: Logger): EdgeParts {
-  const clock = new SystemClock();
+  const clock = createProcessClock(logger);
   const base = { clock, random: processRandom(), settings, logger };
   const pools = new ConnectionPools({ connections: CONNECTIONS_PER_NODE });
   const stop = new StopProgress(clock);
--- a/src/programs/node-parts.ts
+++ b/src/programs/node-parts.ts
@@ -8,7 +8,6 @@
 import { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import { SHARING_ORDERS } from '../admission/sharing-policy.js';
 import { CallStats } from '../call/call-stats.js';
-import { SystemClock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
 import { ClaimReplica } from '../dedup/claim-replica.js';
 import { QuorumClaims, type QuorumClaimsOptions } from '../dedup/quorum-claims.js';
@@ -31,6 +30,7 @@
   tableOf,
   type ProcessContext,
 } from './follower-setup.js';
+import { createProcessClock } from './clock-logger.js';
 import { processRandom } from './process-random.js';
 
 /** Maximum connections to one node of another service. */
@@ -93,7 +93,7 @@
 export function createNodeParts(settings: NodeSettings, logger: Logger): NodeParts {
   const getParts: PartsGetter = () => parts;
   const base: NodeBase = {
-    clock: new SystemClock(),
+    clock: createProcessClock(logger),
     random: processRandom(),
     settings,
     logger,
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -10,7 +10,7 @@
 import { CallStats } from '../call/call-stats.js';
 import { RequestLog } from '../call/request-log.js';
 import { StopProgress } from '../call/stop-phase.js';
-import { SystemClock, type Clock } from '../common/clock.js';
+import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
 import type { RandomSource } from '../common/random.js';
 import type { ConfigurationView } from '../follower/configuration-view.js';
@@ -37,6 +37,7 @@
   createProcessFollower,
   tableOf,
 } from './follower-setup.js';
+import { createProcessClock } from './clock-logger.js';
 import { processRandom } from './process-random.js';
 import { SidecarTarget } from './sidecar-target.js';
 
@@ -122,7 +123,7 @@
 /** Creates the parts without starting them. */
 export function createSidecarParts(inputs: SidecarInputs): SidecarParts {
   const getParts: PartsGetter = () => parts;
-  const clock = new SystemClock();
+  const clock = createProcessClock(inputs.logger);
   const base: ProcessParts = {
     ...inputs,
     clock,
--- a/test/pins/program-lines.test.ts
+++ b/test/pins/program-lines.test.ts
@@ -226,8 +226,11 @@
   }
 });
 
-/** Lines that depend on a race between two processes, so they may or may not be written. */
+/** Lines that depend on a race between two processes or on the clocks of the machine, so they may or may not be written. */
 const TIMING_SHAPES: readonly string[] = [
+  '30 clock: The machine was suspended. {elapsedMs, suppressed, uptimeGainMs, wallGainMs}',
+  '30 clock: The wall clock was set. {elapsedMs, suppressed, uptimeGainMs, wallGainMs}',
+  '40 clock: Clocks disagree; no suspension was counted. {elapsedMs, suppressed, uptimeGainMs, wallGainMs}',
   '30 follower: A replica reported a revision that is not applied here. {applied, revision, syncHeldMs, syncedWith, toldBy}',
   '30 follower: A sync failed. {detail, failure, heldMs, origin}',
   '30 follower: Syncs with control succeed again. {failures, origin}',
--- a/test/pins/source-texts.test.ts
+++ b/test/pins/source-texts.test.ts
@@ -18,6 +18,7 @@
   it('are lines of these parts', () => {
     expect(sourceLogParts()).to.deep.equal([
       'api',
+      'clock',
       'follower',
       'platform',
       'quarantine',
