Lab: account for the slots of simulated targets, by request, end and attempt

To answer where the slots of the deepest service go in the burst of a large fleet, before any constant is turned.

--- a/lab/simulator/sidecars/sidecar-world.ts
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -7,6 +7,7 @@
 import { ArrivalLedger } from './arrival-ledger.js';
 import type { CallGraph, SimRoute } from './call-graph.js';
 import { RequestLineage } from './request-lineage.js';
+import { ClientRequest, SlotAccount, type RequestEnd } from './slot-account.js';
 import { SimSidecar, type SidecarEnvironment, type SimAnswer } from './sim-sidecar.js';
 import { NO_TARGET_FAULTS, type TargetFaults } from './sim-target-transport.js';
 
@@ -53,6 +54,8 @@
   readonly attempts = { sent: 0, crossing: 0 };
   /** Arrivals at targets, counted independently of the code under test. */
   readonly arrivals = new ArrivalLedger();
+  /** What the slots of all targets were held for. */
+  readonly slots = new SlotAccount();
 
   constructor(graph: CallGraph, seed: number) {
     this.random = new SeededRandom(seed);
@@ -133,39 +136,43 @@
   private sendRequest(route: SimRoute): void {
     const result = this.resultOf(route.route.name);
     result.sent += 1;
-    this.attempt(route, result, this.clock.now(), route.clientRetries);
+    const request = new ClientRequest(route.route.name, this.clock.now());
+    this.attempt(route, result, request, route.clientRetries);
   }
 
-  private attempt(route: SimRoute, result: RouteResult, startedAt: number, retries: number): void {
-    const leftMs = startedAt + route.deadlineMs - this.clock.now();
+  private attempt(
+    route: SimRoute,
+    result: RouteResult,
+    request: ClientRequest,
+    retries: number,
+  ): void {
+    const leftMs = request.sentAt + route.deadlineMs - this.clock.now();
     const ingress = this.allSidecars[this.random.nextInt(this.allSidecars.length)]!;
-    ingress.ingress(route, leftMs, new RequestLineage(false), (answer) =>
-      this.onAnswer(route, result, startedAt, retries, answer),
+    request.attempts += 1;
+    const lineage = new RequestLineage(false, request, request.attempts);
+    ingress.ingress(route, leftMs, lineage, (answer) =>
+      this.onAnswer(route, result, request, retries, answer),
     );
   }
 
   private onAnswer(
     route: SimRoute,
     result: RouteResult,
-    startedAt: number,
+    request: ClientRequest,
     retries: number,
-    { status, retryAfterSeconds }: SimAnswer,
+    answer: SimAnswer,
   ): void {
-    const tookMs = this.clock.now() - startedAt;
-    if (status === STATUS_OK) {
-      if (tookMs <= route.route.objectiveMs) result.inTime += 1;
-      else result.late += 1;
-      return;
-    }
+    const tookMs = this.clock.now() - request.sentAt;
     const leftMs = route.deadlineMs - tookMs;
+    const { status, retryAfterSeconds } = answer;
     const mayRepeat = route.route.repeatable || status === STATUS_NOT_RUN;
-    if (retries > 0 && mayRepeat && leftMs > 0) {
+    if (status !== STATUS_OK && retries > 0 && mayRepeat && leftMs > 0) {
       const waitMs = Math.min(retryAfterSeconds * MS_PER_SECOND, leftMs * MAX_RETRY_AFTER_FRACTION);
-      this.clock.schedule(waitMs, () => this.attempt(route, result, startedAt, retries - 1));
+      this.clock.schedule(waitMs, () => this.attempt(route, result, request, retries - 1));
       return;
     }
-    if (status === STATUS_NOT_RUN) result.refused += 1;
-    else result.failed += 1;
+    request.end = endOf(status, tookMs <= route.route.objectiveMs);
+    count(result, request.end);
   }
 
   private resultOf(name: string): RouteResult {
@@ -178,6 +185,18 @@
   }
 }
 
+function endOf(status: number, isInTime: boolean): RequestEnd {
+  if (status === STATUS_OK) return isInTime ? 'in-time' : 'late';
+  return status === STATUS_NOT_RUN ? 'refused' : 'failed';
+}
+
+function count(result: RouteResult, end: RequestEnd): void {
+  if (end === 'in-time') result.inTime += 1;
+  else if (end === 'late') result.late += 1;
+  else if (end === 'refused') result.refused += 1;
+  else result.failed += 1;
+}
+
 /** @param zones number of contiguous blocks; undefined assigns zones in rotation */
 function zoneOf(index: number, targets: number, zones: number | undefined): string {
   if (zones === undefined) return `zone-${index % DEFAULT_ZONES}`;
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -24,6 +24,7 @@
 import type { OutboundResult } from '../../../src/outbound/outbound-request.js';
 import { OutboundRouter } from '../../../src/outbound/outbound-router.js';
 import type { Outcome } from '../../../src/call/outcome.js';
+import { HttpStatus } from '../../../src/common/http-status.js';
 import { refusalStatus } from '../../../src/call/refusal.js';
 import type { AttemptMetadata } from '../../../src/call/transport.js';
 import type { RandomSource } from '../../../src/common/random.js';
@@ -42,6 +43,7 @@
 import type { SimRoute, SimService } from './call-graph.js';
 import { RequestLineage } from './request-lineage.js';
 import { simGateServices } from './sim-gate-services.js';
+import type { RunEnd, SlotAccount, SlotUse } from './slot-account.js';
 import { SimPeerTransport } from './sim-peer-transport.js';
 import { SimTargetTransport, type TargetFaults } from './sim-target-transport.js';
 import { SimTargetWork } from './sim-target-work.js';
@@ -58,6 +60,7 @@
   /** Returns the faults currently injected at the targets of a service. */
   targetFaults(service: string): TargetFaults;
   readonly arrivals: ArrivalLedger;
+  readonly slots: SlotAccount;
 }
 
 /** Position of a machine in the deployment. */
@@ -264,10 +267,12 @@
   ): SimTargetTransport {
     const { clock, random } = this.world;
     const route = this.world.route(kind);
+    const arrivedAt = clock.now();
     return new SimTargetTransport(
       { clock, random, faults: () => this.world.targetFaults(this.service.name) },
       (done) => {
         const isRepeat = this.countArrival(lineage);
+        const use = this.startUse(kind, lineage, clock.now() - arrivedAt);
         const work = new SimTargetWork(
           clock,
           random,
@@ -278,18 +283,46 @@
             this.ingress(
               this.world.route(name),
               deadlineMs,
-              new RequestLineage(isRepeat),
+              lineage.nested(isRepeat),
               ({ status }) => nestedDone(status),
             ),
-          done,
+          (status) => {
+            this.endUse(use, status < HttpStatus.InternalServerError ? 'answered' : 'failed');
+            done(status);
+          },
         );
         this.activeWork.push(work);
-        return work;
+        return {
+          cancel: () => {
+            if (work.isRunning) this.endUse(use, 'cancelled');
+            work.cancel();
+          },
+        };
       },
       () => this.countArrival(lineage),
     );
   }
 
+  private startUse(call: string, lineage: RequestLineage, waitedMs: number): SlotUse {
+    const use: SlotUse = {
+      service: this.service.name,
+      call,
+      lineage,
+      target: this.index,
+      waitedMs,
+      startedAt: this.world.clock.now(),
+      endedAt: Infinity,
+      runEnd: 'cancelled',
+    };
+    this.world.slots.record(use);
+    return use;
+  }
+
+  private endUse(use: SlotUse, runEnd: RunEnd): void {
+    use.endedAt = this.world.clock.now();
+    use.runEnd = runEnd;
+  }
+
   private slowFactor(): number {
     const { slowPart = 0, slowFactor = 1 } = this.world.targetFaults(this.service.name);
     return this.index < slowPart * this.service.targets ? slowFactor : 1;
