Pin the answers to heartbeats and syncs before and after the claim view, each brought about

What was seen: `answers a sync with the configuration as bytes of its own` failed once in 8 runs: revision 1 with a claim view where revision 0 was expected. Callers saw nothing: the product is right.

Cause: heartbeats of earlier tests of the file announce a node of the service `ledger`. The leader checks the claim views every 500 ms and declares one for it, as docs/design/at-most-once.md says ("Control declares the next view when a node is new"; epoch 1 at once if there is none, `control/claim-view-planner.ts`). The expectation held only while that check had not come yet. The check of the heartbeat just above had the same fault, where the leader took longer than 500 ms to confirm its leadership.

Change, the check being wrong as it stood: each of the two tests has a replica of its own, pins the answer whole while no node has announced itself (revision 0, no resources, no endpoints), waits for the claim view, and pins the answer whole again (revision 1, the view with its members, the endpoint with its values and not its field names alone, also the revision in heartbeats). So it is stricter, and neither depends on other tests nor on an interval that has not run out. Leadership is waited for with heartbeats of an edge, which belongs to no service.

--- a/test/pins/internal-protocol.test.ts
+++ b/test/pins/internal-protocol.test.ts
@@ -25,6 +25,18 @@
   linkToken: LONE_LINK_TOKEN,
   stop: STOP,
 };
+/** Heartbeat of a process whose announcement changes no configuration, as it belongs to no service. */
+const EDGE_HEARTBEAT = {
+  id: 'edge-1',
+  role: 'edge',
+  incarnation: 1,
+  zone: 'zone-a',
+  service: undefined,
+  origin: undefined,
+  state: 'ready',
+  appliedRevision: -1,
+  claimEpoch: 0,
+};
 const HEARTBEAT = {
   id: 'node-1',
   role: 'node',
@@ -37,22 +49,56 @@
   claimEpoch: 0,
 };
 
+const CLAIM_VIEW_RECORD = {
+  resource: {
+    kind: 'ClaimView',
+    name: 'ledger',
+    spec: {
+      epoch: 1,
+      members: [{ id: 'node-1', zone: 'zone-a', incarnation: 1 }],
+      previousMembers: [],
+    },
+  },
+  version: 1,
+  changedBy: 'shoredoor',
+};
+const NODE_ENDPOINT = {
+  id: 'node-1',
+  incarnation: 1,
+  service: 'ledger',
+  zone: 'zone-a',
+  origin: 'http://127.0.0.1:1',
+  state: 'ready',
+};
+/** Longest time that a test lasts. */
+const CLOCK_TOLERANCE_MS = 20_000;
+
 describe('the protocol between followers and control', () => {
   const cleanup = new Cleanup();
   let control: Program;
 
   before(async () => {
-    control = await startLoneControl(cleanup);
-    await until(async () => {
-      const answer = await answerTo(`${control.origins.admin}/readyz`);
-      return answer.status === 200;
-    });
+    control = await startWithLeader();
   });
 
   after(() => cleanup.run());
 
-  async function post(path: string, body: Buffer, token = LONE_LINK_TOKEN) {
-    const response = await request(control.origins.listen + path, {
+  async function startWithLeader(): Promise<Program> {
+    const replica = await startLoneControl(cleanup);
+    // A new leader confirms its leadership a few milliseconds after its election.
+    await until(async () => {
+      const { confirmedAgeMs } = await heartbeat(EDGE_HEARTBEAT, replica);
+      return typeof confirmedAgeMs === 'number';
+    });
+    return replica;
+  }
+
+  async function post(
+    path: string,
+    body: Buffer,
+    { token = LONE_LINK_TOKEN, replica = control } = {},
+  ) {
+    const response = await request(replica.origins.listen + path, {
       method: 'POST',
       headers: { authorization: `Bearer ${token}`, 'content-type': 'application/msgpack' },
       body,
@@ -61,9 +107,22 @@
     return { status: response.statusCode, type: response.headers['content-type'], bytes };
   }
 
+  async function heartbeat(message: object, replica: Program): Promise<Record<string, unknown>> {
+    const { status, type, bytes } = await post('/internal/heartbeat', pack(message), { replica });
+    expect({ status, type }).to.deep.equal({ status: 200, type: 'application/msgpack' });
+    return unpack(bytes) as Record<string, unknown>;
+  }
+
+  /** Sends heartbeats of a node until control has declared the view of the claims of its service. */
+  async function declareClaimView(replica: Program): Promise<void> {
+    await until(async () => (await heartbeat(HEARTBEAT, replica)).revision === 1);
+  }
+
   for (const path of ['/internal/heartbeat', '/internal/sync', '/internal/replication']) {
     it(`asks for the link token at ${path}, and for a message`, async () => {
-      expect((await post(path, pack({}), 'another-token-0123456789')).status).to.equal(401);
+      expect((await post(path, pack({}), { token: 'another-token-0123456789' })).status).to.equal(
+        401,
+      );
       const unreadable = await post(path, pack({ id: 'node-1' }).subarray(0, -2));
       expect({ ...unreadable, bytes: unreadable.bytes.length }).to.deep.equal({
         status: 400,
@@ -77,26 +136,31 @@
     expect((await post('/internal/other', pack({}))).status).to.equal(404);
   });
 
-  it('answers a heartbeat', async () => {
-    let reply: Record<string, unknown> = {};
-    // A new leader confirms its leadership a few milliseconds after its election.
-    await until(async () => {
-      const { status, type, bytes } = await post('/internal/heartbeat', pack(HEARTBEAT));
-      expect({ status, type }).to.deep.equal({ status: 200, type: 'application/msgpack' });
-      reply = unpack(bytes) as Record<string, unknown>;
-      return typeof reply.confirmedAgeMs === 'number';
-    });
+  it('answers a heartbeat, before and after it has declared the view of the claims', async () => {
+    // Its own replica: the revision depends on the nodes that have announced themselves so far.
+    const replica = await startWithLeader();
+    expectHeartbeatReply(await heartbeat(HEARTBEAT, replica), 0, replica);
+    await declareClaimView(replica);
+    expectHeartbeatReply(await heartbeat(HEARTBEAT, replica), 1, replica);
+  });
+
+  function expectHeartbeatReply(
+    reply: Record<string, unknown>,
+    revision: number,
+    replica: Program,
+  ): void {
     const { endpoints, ...others } = reply;
     expect(Object.keys(endpoints as object).sort()).to.deep.equal(['source', 'version']);
+    expect(reply.confirmedAgeMs).to.be.a('number');
     expect(others).to.deep.equal({
       type: 'ok',
       confirmedAgeMs: reply.confirmedAgeMs,
-      revision: 0,
+      revision,
       isCurrent: true,
-      controlOrigins: [control.origins.listen],
+      controlOrigins: [replica.origins.listen],
       quota: undefined,
     });
-  });
+  }
 
   it('answers a heartbeat of an earlier process that it is superseded', async () => {
     await post('/internal/heartbeat', pack({ ...HEARTBEAT, id: 'node-2', incarnation: 9 }));
@@ -104,16 +168,16 @@
     expect(unpack(bytes)).to.deep.equal({ type: 'superseded' });
   });
 
-  it('answers a sync with the configuration as bytes of its own', async () => {
+  async function sync(replica: Program) {
     const message = { revision: -1, endpointSource: '', endpointVersion: 0 };
-    const { status, type, bytes } = await post('/internal/sync', pack(message));
+    const { status, type, bytes } = await post('/internal/sync', pack(message), { replica });
     expect({ status, type }).to.deep.equal({ status: 200, type: 'application/msgpack' });
-    const answer = unpack(bytes) as Record<string, unknown>;
-    const { configuration, ...news } = answer;
+    const { configuration, ...news } = unpack(bytes) as Record<string, unknown>;
     const { isCompressed, bytes: packed } = configuration as {
       isCompressed: boolean;
       bytes: Uint8Array;
     };
+    expect(isCompressed).to.equal(false);
     expect(Object.keys(news).sort()).to.deep.equal([
       'endpointChanges',
       'endpointSource',
@@ -122,17 +186,26 @@
       'suspects',
     ]);
     expect(Object.keys(news.suspects as object).sort()).to.deep.equal(['suspects', 'version']);
-    expect(isCompressed).to.equal(false);
-    expect(unpack(packed)).to.deep.equal({ revision: 0, resources: [], changes: [] });
-    const [endpoint] = news.endpoints as object[];
-    expect(Object.keys(endpoint!).sort()).to.deep.equal([
-      'id',
-      'incarnation',
-      'origin',
-      'service',
-      'state',
-      'zone',
-    ]);
+    const unpacked = unpack(packed) as { resources: unknown[] };
+    return { configuration: unpacked, endpoints: news.endpoints };
+  }
+
+  it('answers a sync with the configuration as bytes of its own', async () => {
+    const replica = await startWithLeader();
+    expect(await sync(replica)).to.deep.equal({
+      configuration: { revision: 0, resources: [], changes: [] },
+      endpoints: [],
+    });
+    await declareClaimView(replica);
+    const { configuration, endpoints } = await sync(replica);
+    const [resource] = configuration.resources as [{ changedAt: number }];
+    expect(resource.changedAt).to.be.closeTo(Date.now(), CLOCK_TOLERANCE_MS);
+    expect(configuration).to.deep.equal({
+      revision: 1,
+      resources: [{ ...CLAIM_VIEW_RECORD, changedAt: resource.changedAt }],
+      changes: [],
+    });
+    expect(endpoints).to.deep.equal([NODE_ENDPOINT]);
   });
 });
 
