Followers: a process whose clock was set back before its restart does not stop for the one it replaces

What callers saw: an edge that was restarted within 10 s of its last heartbeat, after the clock of its machine had been set back by more than the age of the earlier process, refused every request for good ("stopping", 503), until an operator restarted it later. A node refused all new calls in the same way.

Cause: control orders the processes of an id by their start times, which come from the wall clock. To it the new process is the older one as long as the lease of the earlier one lasts, and it answers "superseded". The edge and the node then stop for good. The same class as the suspensions: a decision rests on a clock that was stepped, and nothing takes the step in later.

Change: a process takes "superseded" only from a replica that has accepted it before; then a newer process must have come. Otherwise it goes on, says so once in its log, and is listed when the lease has ended, as the table of members has provided for already.

The claims of keys compare incarnations for equality alone, so their order does not matter there. Sidecars only log this reply.

Not covered: two machines with one id by mistake, the second with an earlier clock: it is told in its log alone.

--- a/src/follower/follower.ts
+++ b/src/follower/follower.ts
@@ -15,6 +15,7 @@
 import { ExchangeFailure, type ControlTransport, type Exchange } from '../http/control-client.js';
 import { isCurrent, sendHeartbeat, type ReplicaReply } from './heartbeat-round.js';
 import { ReplicaSelector } from './replica-selector.js';
+import { SupersededDetector } from './superseded-detector.js';
 import { SyncLog } from './sync-log.js';
 import { SyncWatchdog } from './sync-watchdog.js';
 
@@ -64,12 +65,14 @@
   private readonly syncLog: SyncLog;
   private readonly watchdog: SyncWatchdog;
   private readonly proof = new ConfigurationProof();
+  private readonly superseded: SupersededDetector;
 
   constructor(private readonly options: FollowerOptions) {
     this.replica = new ReplicaSelector(options.controlOrigins, options.random);
     this.lastCurrentReplyAt = options.clock.now();
     this.state = 'ready';
     this.syncLog = new SyncLog(options.clock, options.logger);
+    this.superseded = new SupersededDetector(options.logger);
     this.watchdog = new SyncWatchdog(options.clock, this.view, this.syncLog);
   }
 
@@ -169,7 +172,14 @@
     const isSilence = replies.every(({ reply }) => reply === undefined);
     const mayRepeat = isSilence && replies.some(({ timedOut }) => timedOut);
     if (mayRepeat && !isRepeat && !this.stopped) void this.sendHeartbeats(true);
-    if (replies.some(({ reply }) => reply?.type === 'superseded')) this.options.onSuperseded();
+    if (this.isSuperseded(replies)) this.options.onSuperseded();
+  }
+
+  private isSuperseded(replies: readonly ReplicaReply[]): boolean {
+    const found = replies.map(({ origin, reply }) => {
+      return reply !== undefined && this.superseded.onReply(origin, reply);
+    });
+    return found.includes(true);
   }
 
   private onReply({ origin, reply, sentAt }: ReplicaReply): void {
