Clock: log nothing where the uptime alone runs at another pace

No suspension can have been missed where the wall clock did not move, so the line misled. Both offsets are still replaced; the line comes only with a change of the wall clock. Test: `reports changes of the wall clock ... and none of the uptime alone`.

--- a/src/common/suspension-detector.ts
+++ b/src/common/suspension-detector.ts
@@ -8,7 +8,7 @@
 
 /** A change of the clocks against each other. Gains are advances beyond that of the monotonic clock. */
 export interface ClockChange {
-  /** Only a `suspension` counts as elapsed time. In a `disagreement` the uptime changed without the wall clock. */
+  /** Only a `suspension` counts as elapsed time. In a `disagreement` wall clock and uptime changed differently. */
   readonly type: 'suspension' | 'wall-clock-set' | 'disagreement';
   /** Monotonic time since the reading that the gains are relative to. */
   readonly elapsedMs: number;
@@ -46,26 +46,24 @@
     );
   }
 
-  /** Returns the change since the base reading, if it is large enough to classify; the base is then replaced. */
+  /** Returns the change of the wall clock since the base reading, if it is large enough to classify. */
   compare(reading: ClockReading): ClockChange | undefined {
     const elapsedMs = reading.monotonicMs - this.base.monotonicMs;
     const wallGainMs = reading.wallMs - this.base.wallMs - elapsedMs;
     const uptimeGainMs = reading.uptimeMs - this.base.uptimeMs - elapsedMs;
     this.nextUptimeCheckAt = reading.monotonicMs + UPTIME_CHECK_INTERVAL_MS;
-    if (isNegligible(wallGainMs, uptimeGainMs)) return undefined;
+    const isWallSteady = Math.abs(wallGainMs) < MIN_CHANGE_MS;
+    // Short suspensions stay in the base, so that repeated ones add up and are counted.
+    if (isWallSteady && Math.abs(uptimeGainMs - wallGainMs) < MIN_CHANGE_MS) return undefined;
     // Both offsets are replaced together: a change kept in only one would make the next suspension a disagreement.
     this.base = reading;
     this.wallOffsetMs = reading.wallMs - reading.monotonicMs;
+    // The uptime of some platforms runs at a pace of its own, which tells nothing.
+    if (isWallSteady) return undefined;
     return { type: classify(wallGainMs, uptimeGainMs), elapsedMs, wallGainMs, uptimeGainMs };
   }
 }
 
-/** Short suspensions stay in the base, so that repeated ones add up and are counted. */
-function isNegligible(wallGainMs: number, uptimeGainMs: number): boolean {
-  const differenceMs = Math.abs(uptimeGainMs - wallGainMs);
-  return Math.abs(wallGainMs) < MIN_CHANGE_MS && differenceMs < MIN_CHANGE_MS;
-}
-
 function classify(wallGainMs: number, uptimeGainMs: number): ClockChange['type'] {
   if (Math.abs(uptimeGainMs) < MIN_CHANGE_MS) return 'wall-clock-set';
   const clocksAgree = Math.abs(uptimeGainMs - wallGainMs) <= MAX_GAIN_DIFFERENCE_MS;
--- a/test/common/suspended-clock.test.ts
+++ b/test/common/suspended-clock.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { SystemClock, type ClockSources } from '../../src/common/clock.js';
+import type { ClockChange } from '../../src/common/suspension-detector.js';
 import { OverdueProbe } from '../support/overdue-probe.js';
 import { TargetLease } from '../../src/membership/target-lease.js';
 
@@ -243,6 +244,28 @@
     );
   });
 
+  it('reports changes of the wall clock with the gains that decided, and none of the uptime alone', () => {
+    const changes: ClockChange[] = [];
+    clock = new SystemClock(machine, (change) => changes.push(change));
+    machine.driftUptime(2_000);
+    machine.run(20_000);
+    clock.now();
+    expect(changes).to.deep.equal([]);
+    machine.run(100);
+    machine.suspend(5_000);
+    clock.now();
+    machine.setTimeOfDay(-61);
+    clock.now();
+    machine.driftUptime(300);
+    machine.setTimeOfDay(2_000);
+    clock.now();
+    expect(changes).to.deep.equal([
+      { type: 'suspension', elapsedMs: 100, wallGainMs: 5_000, uptimeGainMs: 5_000 },
+      { type: 'wall-clock-set', elapsedMs: 0, wallGainMs: -61, uptimeGainMs: 0 },
+      { type: 'disagreement', elapsedMs: 0, wallGainMs: 2_000, uptimeGainMs: 300 },
+    ]);
+  });
+
   it('ends the lease of a target that has not been heard of since before', () => {
     const lease = new TargetLease(clock, 3_000, () => undefined);
     const place = { service: 'ledger', address: '127.0.0.1:1', slots: 8 };
