--- a/lab/simulator/sidecars/request-lineage.ts
+++ b/lab/simulator/sidecars/request-lineage.ts
@@ -1,5 +1,5 @@
 /** Decides which arrivals of a simulated request are repeats, independently of the code under test. */
-import { ClientRequest } from './slot-account.js';
+import { ClientRequest } from './client-request.js';
 
 /** Stands for a request whose client is not simulated. */
 const UNKNOWN_REQUEST = new ClientRequest('', 0);
--- a/lab/simulator/sidecars/sidecar-world.ts
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -6,8 +6,9 @@
 import { VirtualClock } from '../../../src/common/virtual-clock.js';
 import { ArrivalLedger } from './arrival-ledger.js';
 import type { CallGraph, SimRoute } from './call-graph.js';
+import { ClientRequest, type RequestEnd } from './client-request.js';
 import { RequestLineage } from './request-lineage.js';
-import { ClientRequest, SlotAccount, type RequestEnd } from './slot-account.js';
+import { SlotAccount } from './slot-account.js';
 import { SimSidecar, type SidecarEnvironment, type SimAnswer } from './sim-sidecar.js';
 import { NO_TARGET_FAULTS, type TargetFaults } from './sim-target-transport.js';
 
--- a/lab/simulator/sidecars/slot-account.ts
+++ b/lab/simulator/sidecars/slot-account.ts
@@ -2,26 +2,12 @@
  * Accounts for the slots of simulated targets: for which requests each slot was held, how long the calls had waited, and
  * how the requests ended. Shows where the capacity of a service goes.
  */
+import type { RequestEnd } from './client-request.js';
 import type { RequestLineage } from './request-lineage.js';
 
-/** How the client's request ended for which a slot was held. `open` if it had not ended by the end of the run. */
-export type RequestEnd = 'in-time' | 'late' | 'refused' | 'failed' | 'open';
-
 /** How the run that held the slot ended. */
 export type RunEnd = 'answered' | 'failed' | 'cancelled';
 
-/** A request of a client, with all of its attempts. */
-export class ClientRequest {
-  end: RequestEnd = 'open';
-  /** Attempts of the client so far. */
-  attempts = 0;
-
-  constructor(
-    readonly route: string,
-    readonly sentAt: number,
-  ) {}
-}
-
 /** A slot held by one run. Times in virtual milliseconds. */
 export interface SlotUse {
   readonly service: string;
--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -3,7 +3,6 @@
  * modules run unchanged in both.
  */
 import { readClocks, readOnce, SYSTEM_SOURCES, type ClockSources } from './clock-reading.js';
-
 import { SuspensionDetector, type ClockChange } from './suspension-detector.js';
 
 export type { ClockSources } from './clock-reading.js';
--- a/test/lab/slot-account.test.ts
+++ b/test/lab/slot-account.test.ts
@@ -1,13 +1,9 @@
 import { expect } from 'chai';
+import { ClientRequest, type RequestEnd } from '../../lab/simulator/sidecars/client-request.js';
 import { DEEP_SEARCH_GRAPH } from '../../lab/simulator/sidecars/deep-search-graph.js';
 import { RequestLineage } from '../../lab/simulator/sidecars/request-lineage.js';
 import { SidecarWorld } from '../../lab/simulator/sidecars/sidecar-world.js';
-import {
-  ClientRequest,
-  SlotAccount,
-  type RequestEnd,
-  type SlotUse,
-} from '../../lab/simulator/sidecars/slot-account.js';
+import { SlotAccount, type SlotUse } from '../../lab/simulator/sidecars/slot-account.js';
 
 const MS_PER_SECOND = 1_000;
 
