Declared sets: uploads; a fleet without a set answers 503; load with a fourth figure; late reports of an earlier start

Cause: the kind `upload` was none of repeatable, once, bulk, so a whole set with one such route was refused (422 with the path of the field) and every sidecar ran with the empty table of revision 0, whose answer to any request was 404. Two faults: the word, and that a fleet which has no accepted set calls every route unknown. The probe of a target's health took exactly three figures of the load, so a target with a fourth was not found after a restart of its sidecar. A report delayed beyond the crash of its sender took the lease of a newer start that had just been found down, misdirected or deregistered.

Change: `upload` runs at most once; before the first accepted set the ingress answers 503 not-ready; one parser of the load for three or more figures; a start time before that of the last holder needs two reports some time apart.

--- a/src/http/target-headers.ts
+++ b/src/http/target-headers.ts
@@ -20,7 +20,7 @@
   readonly notExecuted: string;
   /** In answers to health checks: id of the answering instance. */
   readonly instanceId: string;
-  /** In answers: the numbers of running requests, queued requests and slots, separated by commas. */
+  /** In answers: running requests, queued requests, slots and, from some targets, the duration of work; see target-load.ts. */
   readonly load: string;
   /** In answers: the requests a second that the target accepts from all callers together, as a decimal number. */
   readonly rateLimit: string;
--- a/src/ingress/ingress-rules.ts
+++ b/src/ingress/ingress-rules.ts
@@ -2,7 +2,7 @@
  * The rules that an ingress applies to a request, in this order. The reason of a refusal names the rule; log lines show it
  * as `outcome`, metrics as `reason`. Pure.
  *
- *  1. not-ready            {@link decideOnHead}    503  the other rules need a configuration
+ *  1. not-ready            {@link decideOnHead}    503  the other rules need a declared configuration
  *  2. (no reason, no line) {@link decideOnHead}    431  the cheapest limit on what a client can make this process read
  *  3. unknown-kind         {@link decideOnHead}    404  the following rules need the route
  *  4. leaving              {@link decideOnHead}    503  a stopping process refuses before it does more work
@@ -101,6 +101,9 @@
   if (table === undefined) {
     return refused('not-ready', SHORT_RETRY_SECONDS, 'No configuration has been received yet.');
   }
+  if (table.revision === 0) {
+    return refused('not-ready', SHORT_RETRY_SECONDS, 'No configuration has been declared yet.');
+  }
   if (headerBytes(head.rawHeaders) > table.ingress.maxHeaderBytes) {
     return { type: 'headers-too-large' };
   }
--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -8,16 +8,18 @@
  * | ----------------------------------------------------------------- | ------------------------------------------- |
  * | of one that deregistered or whose address another one serves      | dropped                                     |
  * | of one that refused connections, not newer than its last report   | dropped                                     |
- * | any, while no incarnation holds the lease                         | acquires the lease                          |
+ * | with an earlier start time than the last holder of the lease      | recorded as the candidate, see below        |
+ * | any other, while no incarnation holds the lease                   | acquires the lease                          |
  * | of the holder, older than its last report                         | dropped                                     |
  * | of the holder                                                     | renews the lease; a leaving holder stays so |
  * | of a replaced incarnation, while the lease is valid               | dropped                                     |
  * | any, while the holder is leaving or the lease has expired         | takes over the lease                        |
  * | with a later start time than the holder                           | takes over the lease                        |
- * | the second in order, {@link MIN_REPORT_GAP_MS} after the first,   | takes over the lease                        |
- * | with no report of the holder in between                           |                                             |
  * | any other                                                         | recorded as the candidate                   |
  *
+ * The second report of a candidate in order, {@link MIN_REPORT_GAP_MS} after the first and with no report of the holder in
+ * between, takes over the lease: a single one may have been delayed beyond the end of its sender.
+ *
  * Times are those of the local clock. Start times are only compared with others of the same machine.
  */
 import type { Clock } from '../common/clock.js';
@@ -76,6 +78,8 @@
   private readonly replaced = new Set<string>();
   /** Last sequence numbers of incarnations that refused connections, to ignore late reports. */
   private readonly refusedSequences = new Map<string, number>();
+  /** Start time of the last holder, in milliseconds since 1970; undefined if it did not report one. */
+  private lastBorn: number | undefined;
 
   /**
    * @param leaseMs duration of the lease in milliseconds, the setting `targetSilentMs`
@@ -116,7 +120,10 @@
     if (this.ended.has(name)) return;
     if (report.sequence <= (this.refusedSequences.get(name) ?? -1)) return;
     const { held } = this;
-    if (held === undefined || isSameIncarnation(held.report, report)) this.renew(report);
+    if (held === undefined) {
+      if (!this.startedBeforeLastHolder(report) || this.confirmsCandidate(report))
+        this.renew(report);
+    } else if (isSameIncarnation(held.report, report)) this.renew(report);
     else if (this.replaced.has(name) && this.current !== undefined) return;
     else if (this.mayTakeOver(held, report)) this.takeOver(held, report);
   }
@@ -160,17 +167,24 @@
     const state = before?.state === 'leaving' ? 'leaving' : report.state;
     const born = report.born ?? before?.born;
     this.held = { report: { ...report, state, born }, receivedAt: this.clock.now() };
+    this.lastBorn = born;
     this.candidate = undefined;
     this.onChange();
   }
 
-  /**
-   * Whether another incarnation may take over the lease; records it as the candidate if not. Without a later start time, two
-   * reports in order and some time apart are required, since a single one may be a late report.
-   */
+  /** Whether another incarnation may take over the lease; records it as the candidate if not. */
   private mayTakeOver(held: HeldLease, report: TargetReport): boolean {
-    if (held.report.state === 'leaving' || this.current === undefined) return true;
-    if (startedLater(report, held.report)) return true;
+    const isVacant = held.report.state === 'leaving' || this.current === undefined;
+    if (isVacant && !this.startedBeforeLastHolder(report)) return true;
+    return startedLater(report, held.report) || this.confirmsCandidate(report);
+  }
+
+  private startedBeforeLastHolder({ born }: TargetReport): boolean {
+    return born !== undefined && this.lastBorn !== undefined && born < this.lastBorn;
+  }
+
+  /** Whether a report follows an earlier one of the candidate; if not, its sender becomes the candidate. */
+  private confirmsCandidate(report: TargetReport): boolean {
     const { candidate } = this;
     const receivedAt = this.clock.now();
     const name = incarnationName(report);
--- a/src/membership/target-probe.ts
+++ b/src/membership/target-probe.ts
@@ -5,6 +5,7 @@
 import { request } from 'undici';
 import { readAnnouncement, type TargetAnnouncement } from '../http/target-announcement.js';
 import { headerValue, type TargetHeaders } from '../http/target-headers.js';
+import { parseTargetLoad } from '../http/target-load.js';
 import type { TargetReport } from './target-lease.js';
 import { HttpStatus } from '../common/http-status.js';
 
@@ -19,8 +20,6 @@
 
 /** Timeout of a probe, in milliseconds. A probe waits for a slot like any request, so a busy target responds slowly. */
 const TIMEOUT_MS = 1_000;
-/** Number of fields in the load header: running, waiting, slots. */
-const LOAD_FIELDS = 3;
 
 /** The answer of a target to a probe. */
 export interface ProbeAnswer {
@@ -48,7 +47,7 @@
     await response.body.dump();
     const instance = headerValue(response.headers, names.instanceId);
     if (instance === undefined) return undefined;
-    const slots = slotsOf(headerValue(response.headers, names.load));
+    const slots = parseTargetLoad(headerValue(response.headers, names.load))?.slots;
     const isUsable = response.statusCode === HttpStatus.Ok && slots !== undefined;
     const identity = { instance, service, address };
     return {
@@ -63,10 +62,3 @@
     return undefined;
   }
 }
-
-/** Parses the slots from a load of the form `RUNNING,WAITING,SLOTS`; undefined if it is malformed. */
-function slotsOf(load: string | undefined): number | undefined {
-  const fields = load?.split(',') ?? [];
-  const slots = Number(fields[LOAD_FIELDS - 1]);
-  return fields.length === LOAD_FIELDS && Number.isInteger(slots) && slots > 0 ? slots : undefined;
-}
--- a/src/policy/route-schema.ts
+++ b/src/policy/route-schema.ts
@@ -18,9 +18,13 @@
 
 /**
  * How often a request may run: `repeatable` ones any number of times, `once` ones at most once; `bulk` ones are repeatable
- * and have large responses.
+ * and have large responses; `upload` ones run at most once and have large bodies.
  */
-export const ROUTE_SEMANTICS = ['repeatable', 'once', 'bulk'] as const;
+export const ROUTE_SEMANTICS = ['repeatable', 'once', 'bulk', 'upload'] as const;
+export type RouteSemantics = (typeof ROUTE_SEMANTICS)[number];
+
+/** Semantics whose requests may run more than once. */
+export const REPEATABLE_SEMANTICS: ReadonlySet<RouteSemantics> = new Set(['repeatable', 'bulk']);
 
 const backendSchema = z.looseObject({
   service: declaredNameSchema,
--- a/src/policy/route-table.ts
+++ b/src/policy/route-table.ts
@@ -1,6 +1,11 @@
 /** Lookup of the declared routes by host and longest path prefix. Immutable, like the policy table that contains it. */
 import { HIGHEST_IMPORTANCE, type Importance } from './importance.js';
-import { servicesOf, type IngressResource, type RouteResource } from './route-schema.js';
+import {
+  REPEATABLE_SEMANTICS,
+  servicesOf,
+  type IngressResource,
+  type RouteResource,
+} from './route-schema.js';
 
 /** A service of a route. */
 export interface Backend {
@@ -80,7 +85,7 @@
   const rank = spec.rank ?? 0;
   return {
     name,
-    repeatable: spec.semantics !== 'once',
+    repeatable: REPEATABLE_SEMANTICS.has(spec.semantics),
     bulk: spec.semantics === 'bulk',
     timeoutMs: spec.timeoutMs,
     objectiveMs: spec.objectiveMs ?? spec.timeoutMs,
--- a/test/ingress/ingress-order.test.ts
+++ b/test/ingress/ingress-order.test.ts
@@ -11,10 +11,11 @@
 import type { RandomSource } from '../../src/common/random.js';
 import { DEFAULT_BODY_LIMITS } from '../../src/http/request-body.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
+import { decideOnHead, type IngressState, type Refused } from '../../src/ingress/ingress-rules.js';
 import { IngressServer, type IngressServerOptions } from '../../src/ingress/ingress-server.js';
 import { LinkPool } from '../../src/link/link-pool.js';
 import { replacedHeaders } from '../../src/link/peer-transport.js';
-import { PolicyTable } from '../../src/policy/policy-table.js';
+import { EMPTY_POLICY_TABLE, PolicyTable } from '../../src/policy/policy-table.js';
 import type { Resource } from '../../src/policy/resource-schema.js';
 import { IngressQuota } from '../../src/quota/ingress-quota.js';
 import { RepeatedRuns } from '../../src/retry/repeated-runs.js';
@@ -324,3 +325,13 @@
   }
   return counts;
 }
+
+describe('an ingress whose first declared set was refused', () => {
+  it('answers that it is not ready, and not that the route is unknown', () => {
+    const head = { host: HOST, url: '/order/1', rawHeaders: [], apiKey: undefined };
+    const state = { table: EMPTY_POLICY_TABLE } as IngressState;
+    const decision = decideOnHead(head, state) as Refused;
+    expect(decision.refusal.reason).to.equal('not-ready');
+    expect(decision.refusal.verdict).to.equal('not-run');
+  });
+});
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -158,6 +158,29 @@
     expect(held.isReady).to.equal(true);
   });
 
+  const vacancies: Readonly<Record<string, (held: TargetLease) => void>> = {
+    'was found down': (held) => held.onConnectionRefused('i-2@2000'),
+    'has crashed and another answers': (held) => held.onMisdirected('i-2@2000'),
+    'has deregistered': (held) => held.onLeave({ instance: 'i-2', born: 2_000 }),
+  };
+  for (const [what, vacate] of Object.entries(vacancies)) {
+    it(`is not taken by a late report of an earlier start after the holder ${what}`, () => {
+      const { held, clock } = lease();
+      held.onReport(report('i-2', 5, { born: 2_000 }));
+      vacate(held);
+      held.onReport(report('i-1', 90, { born: 1_000 }));
+      expect(held.isReady).to.equal(false);
+      held.onReport(report('i-3', 1, { born: 3_000 }));
+      expect(held.current).to.include({ instance: 'i-3' });
+      // A machine whose time of day was set back starts targets that seem older.
+      held.onLeave({ instance: 'i-3', born: 3_000 });
+      held.onReport(report('i-4', 1, { born: 500 }));
+      clock.advance(REPORT_GAP_MS);
+      held.onReport(report('i-4', 2, { born: 500 }));
+      expect(held.current).to.include({ instance: 'i-4' });
+    });
+  }
+
   it('is not ended by the leave of an earlier start under the same id', () => {
     const { held } = lease();
     held.onReport(report('i-1', 1, { born: 2_000 }));
--- a/test/membership/target-probe.test.ts
+++ b/test/membership/target-probe.test.ts
@@ -35,6 +35,13 @@
     expect(found).to.deep.include({ state: 'ready', sequence: 0 });
   });
 
+  it('finds a target that reports how long work takes besides its slots', async () => {
+    const found = await probe((_message, response) =>
+      response.writeHead(200, { [instanceId]: 'i-7', [load]: '3,0,8,250' }).end(),
+    );
+    expect(found).to.include({ instance: 'i-7', slots: 8 });
+  });
+
   it('finds none that is not well, is nameless, or tells no slots', async () => {
     const answers: [number, Record<string, string>][] = [
       [503, { [instanceId]: 'i-7', [load]: '3,0,8' }],
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -2,6 +2,9 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { PLATFORM_DECLARATION_CODEC } from '../../platform/declaration-codec.js';
+import { declarationFaults, type RouteResource } from '../../src/policy/route-schema.js';
+import { RouteTable } from '../../src/policy/route-table.js';
+import { readToml } from '../support/read-toml.js';
 
 const PLATFORM_NAMES =
   /x-response-signature|x-not-executed|x-expected-instance|x-deadline-milliseconds|x-calling-service|weighted_services|latency_objective|call_sequence|cold_remaining|configuration\.put|x-tenant|api_keys|rate_per_s|allow_anonymous|server-limit|server-leaving/i;
@@ -43,6 +46,22 @@
     expect(PLATFORM_DECLARATION_CODEC.encode(document!)).to.deep.equal(body);
   });
 
+  // The kinds of request that the platform's pages name.
+  const KINDS = { idempotent: true, non_idempotent: false, download: true, upload: false };
+  for (const [kind, repeatable] of Object.entries(KINDS)) {
+    it(`takes routes of the kind ${kind}, which ${repeatable ? 'may' : 'must not'} be repeated`, () => {
+      const semantics = readToml(readFileSync('deploy/wire.toml', 'utf8')).words![kind] ?? kind;
+      const route = {
+        kind: 'Route',
+        name: 'r',
+        spec: { host: 'a.example', pathPrefix: '/', semantics, timeoutMs: 5, service: 's' },
+      } as RouteResource;
+      const resources = [{ kind: 'Service', name: 's', spec: {} }, route];
+      expect(declarationFaults(resources)).to.deep.equal([]);
+      expect(new RouteTable([route]).match('a.example', '/')?.repeatable).to.equal(repeatable);
+    });
+  }
+
   it('takes nothing that is not laid out as a set', () => {
     const bodies = [
       undefined,
