Link: optional fields for the pace of a kind at a target and for the bottleneck on a call's path

The interface that the parts on placing and on the room of deep services share: appended to the outcome, absent in older processes. Nothing sends them yet.

--- a/src/call/outcome.ts
+++ b/src/call/outcome.ts
@@ -16,6 +16,23 @@
   readonly limit: number;
   /** Which repeats the gate currently admits. Only from sidecars. Default: all. */
   readonly repeatRoom?: AcceptedRepeats;
+  /** Durations of calls of the answered kind at this target. Absent before enough calls, and from nodes. */
+  readonly kindPace?: KindPace;
+}
+
+/** How long calls of one kind take in one target. */
+export interface KindPace {
+  /** Usual duration in milliseconds, with the target's own calls. */
+  readonly usualMs: number;
+  /** Duration of the longest recent calls in milliseconds; at least `usualMs`. */
+  readonly longMs: number;
+}
+
+/** The most loaded service on the path of a call: the callee's own, or one that the callee's target calls for such calls. */
+export interface Bottleneck {
+  readonly service: string;
+  /** Load of that service relative to its capacity; above 1, calls wait there. */
+  readonly pressure: number;
 }
 
 /** What a gate reports about a crash of its target when a call got no answer. */
@@ -51,6 +68,8 @@
    * announces a rate limit that leaves no room now.
    */
   readonly returnInMs?: number;
+  /** Only from sidecars whose service, or one downstream, is under pressure. */
+  readonly bottleneck?: Bottleneck;
   /** Retries returned to the caller. */
   readonly unspentRetries: number;
   readonly load: LoadReport | undefined;
--- a/src/link/outcome-fields.ts
+++ b/src/link/outcome-fields.ts
@@ -1,5 +1,5 @@
 /** Encoding of an outcome inside response, head and refusal frames. Enum and string values are sent unchanged. */
-import type { CrashNote, Outcome } from '../call/outcome.js';
+import type { Bottleneck, CrashNote, KindPace, Outcome } from '../call/outcome.js';
 import type { RefusalReason } from '../call/refusal.js';
 import type { Verdict } from '../common/verdict.js';
 import { AcceptedRepeats } from '../retry/accepted-repeats.js';
@@ -18,10 +18,16 @@
   repeatRoom: AcceptedRepeats,
   /** Absent if the sender's version does not support it. */
   crashNote?: CrashNote | null,
-  /** Absent if there is none or if the sender's version does not support it. */
-  returnInMs?: number,
+  /** Absent or null if there is none; absent if the sender's version does not support it. The following ones likewise. */
+  returnInMs?: number | null,
+  /** Usual and longest recent duration of the kind at the target, in milliseconds. */
+  kindPace?: [usualMs: number, longMs: number] | null,
+  bottleneck?: [service: string, pressure: number] | null,
 ];
 
+/** Number of fields that every version sends. */
+const COMMON_FIELDS = 11;
+
 /** Encodes an outcome. */
 export function toOutcomeFields(outcome: Outcome): OutcomeFields {
   const { verdict, refusal, overloaded, nested, unspentRetries, load, congestion } = outcome;
@@ -39,10 +45,22 @@
     load?.repeatRoom ?? AcceptedRepeats.Runs,
     outcome.crashNote ?? null,
   ];
-  if (outcome.returnInMs !== undefined) fields.push(Math.ceil(outcome.returnInMs));
+  appendOptionalFields(fields, outcome);
   return fields;
 }
 
+/** Appends the optional fields up to the last one that is present. */
+function appendOptionalFields(fields: OutcomeFields, outcome: Outcome): void {
+  const { returnInMs, load, bottleneck } = outcome;
+  const pace = load?.kindPace;
+  fields.push(
+    returnInMs === undefined ? null : Math.ceil(returnInMs),
+    pace === undefined ? null : [Math.round(pace.usualMs), Math.round(pace.longMs)],
+    bottleneck === undefined ? null : [bottleneck.service, bottleneck.pressure],
+  );
+  while (fields.length > COMMON_FIELDS && fields.at(-1) === null) fields.pop();
+}
+
 /** Decodes an outcome. */
 export function fromOutcomeFields(fields: OutcomeFields): Outcome {
   const [
@@ -58,6 +76,8 @@
     repeatRoom,
     crashNote,
     returnInMs,
+    kindPace,
+    bottleneck,
   ] = fields;
   return {
     verdict,
@@ -65,10 +85,31 @@
     overloaded,
     nested,
     unspentRetries,
-    load: inFlight === null || limit === null ? undefined : { inFlight, limit, repeatRoom },
+    load:
+      inFlight === null || limit === null
+        ? undefined
+        : {
+            inFlight,
+            limit,
+            repeatRoom,
+            ...(isPair(kindPace) && { kindPace: toKindPace(kindPace) }),
+          },
     ...(congestion !== null && { congestion }),
     ...(rejectedByTarget && { rejectedByTarget }),
     ...(typeof crashNote === 'string' && { crashNote }),
     ...(typeof returnInMs === 'number' && { returnInMs }),
+    ...(isPair(bottleneck) && { bottleneck: toBottleneck(bottleneck) }),
   };
 }
+
+function isPair<Pair extends unknown[]>(field: Pair | null | undefined): field is Pair {
+  return Array.isArray(field);
+}
+
+function toKindPace([usualMs, longMs]: [number, number]): KindPace {
+  return { usualMs, longMs };
+}
+
+function toBottleneck([service, pressure]: [string, number]): Bottleneck {
+  return { service, pressure };
+}
