--- a/lab/simulator/sidecars/call-graph.ts
+++ b/lab/simulator/sidecars/call-graph.ts
@@ -1,6 +1,7 @@
 /** Describes a deployment of sidecars for the simulation: its services, and its routes with their load. */
 import type { Importance } from '../../../src/policy/importance.js';
 import type { Route } from '../../../src/policy/route-table.js';
+import type { BurstOptions } from './speed-bursts.js';
 
 /** A service and its targets. */
 export interface SimService {
@@ -10,6 +11,16 @@
   readonly slots: number;
   /** Multiples of the route's work time, assigned to the targets in rotation. */
   readonly workFactors: readonly number[];
+  /** Phases in which a target works more slowly. Default: none. */
+  readonly bursts?: BurstOptions;
+}
+
+/** Runs that take much longer than the others, at random. */
+export interface LongRuns {
+  /** Fraction of the runs, 0 to 1. */
+  readonly part: number;
+  /** Multiple of the work time. */
+  readonly factor: number;
 }
 
 /** Downstream calls that a target makes for each call of a route. */
@@ -41,6 +52,10 @@
    * are assigned to three zones in rotation.
    */
   readonly zones?: number;
+  /** Relative number of client requests that arrive in each zone. Default: the same at each machine. */
+  readonly zoneDemand?: readonly number[];
+  /** Default: none. */
+  readonly longRuns?: LongRuns;
   readonly services: readonly SimService[];
   readonly routes: readonly SimRoute[];
 }
--- a/lab/simulator/sidecars/sidecar-world.ts
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -5,11 +5,12 @@
 import { sampleExponential, SeededRandom } from '../../../src/common/random.js';
 import { VirtualClock } from '../../../src/common/virtual-clock.js';
 import { ArrivalLedger } from './arrival-ledger.js';
-import type { CallGraph, SimRoute } from './call-graph.js';
+import type { CallGraph, SimRoute, SimService } from './call-graph.js';
 import { ClientRequest, type RequestEnd } from './client-request.js';
 import { RequestLineage } from './request-lineage.js';
 import { SlotAccount } from './slot-account.js';
 import { SimSidecar, type SidecarEnvironment, type SimAnswer } from './sim-sidecar.js';
+import { SpeedBursts } from './speed-bursts.js';
 import { NO_TARGET_FAULTS, type TargetFaults } from './sim-target-transport.js';
 
 /** A phase of a run with its load. */
@@ -46,6 +47,7 @@
   readonly random: SeededRandom;
   private readonly sidecars = new Map<string, SimSidecar>();
   private readonly allSidecars: SimSidecar[] = [];
+  private readonly zones: readonly (readonly SimSidecar[])[];
   private readonly routes: Map<string, SimRoute>;
   private results = new Map<string, RouteResult>();
   private demandFactor = 1;
@@ -58,18 +60,24 @@
   /** What the slots of all targets were held for. */
   readonly slots = new SlotAccount();
 
-  constructor(graph: CallGraph, seed: number) {
+  constructor(
+    private readonly graph: CallGraph,
+    seed: number,
+  ) {
     this.random = new SeededRandom(seed);
     this.routes = new Map(graph.routes.map((each) => [each.route.name, each]));
     for (const service of graph.services) {
       for (let index = 0; index < service.targets; index += 1) {
         const factor = service.workFactors[index % service.workFactors.length]!;
         const location = { index, zone: zoneOf(index, service.targets, graph.zones) };
-        this.add(new SimSidecar(this, service, location, factor));
+        const speed = { factor, bursts: this.createBursts(service), longRuns: graph.longRuns };
+        this.add(new SimSidecar(this, service, location, speed));
       }
     }
     const records = this.allSidecars.map((sidecar) => sidecar.record);
     for (const sidecar of this.allSidecars) sidecar.update(records);
+    const zones = [...new Set(records.map(({ zone }) => zone))];
+    this.zones = zones.map((zone) => this.allSidecars.filter(({ record }) => record.zone === zone));
   }
 
   route(name: string): SimRoute {
@@ -148,7 +156,7 @@
     retries: number,
   ): void {
     const leftMs = request.sentAt + route.deadlineMs - this.clock.now();
-    const ingress = this.allSidecars[this.random.nextInt(this.allSidecars.length)]!;
+    const ingress = this.chooseIngress();
     request.attempts += 1;
     const lineage = new RequestLineage(false, request, request.attempts);
     ingress.ingress(route, leftMs, lineage, (answer) =>
@@ -156,6 +164,23 @@
     );
   }
 
+  private chooseIngress(): SimSidecar {
+    const sidecars = this.graph.zoneDemand === undefined ? this.allSidecars : this.chooseZone();
+    return sidecars[this.random.nextInt(sidecars.length)]!;
+  }
+
+  /** @returns the sidecars of a zone that is chosen by its demand */
+  private chooseZone(): readonly SimSidecar[] {
+    const demand = this.graph.zoneDemand!;
+    let draw = this.random.next() * demand.reduce((total, each) => total + each, 0);
+    const index = demand.findIndex((each) => (draw -= each) < 0);
+    return this.zones[Math.max(0, index)]!;
+  }
+
+  private createBursts({ bursts }: SimService): SpeedBursts | undefined {
+    return bursts === undefined ? undefined : new SpeedBursts(bursts, this.random);
+  }
+
   private onAnswer(
     route: SimRoute,
     result: RouteResult,
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -46,7 +46,7 @@
 import type { RunEnd, SlotAccount, SlotUse } from './slot-account.js';
 import { SimPeerTransport } from './sim-peer-transport.js';
 import { SimTargetTransport, type TargetFaults } from './sim-target-transport.js';
-import { SimTargetWork } from './sim-target-work.js';
+import { SimTargetWork, type WorkSpeed } from './sim-target-work.js';
 import type { Cancellable } from '../../model/cancellable.js';
 
 /** State and lookups that all sidecars of a run share. */
@@ -102,7 +102,7 @@
     private readonly world: SidecarEnvironment,
     readonly service: SimService,
     location: SimLocation,
-    private readonly workFactor: number,
+    private readonly speed: WorkSpeed,
   ) {
     const { clock, random } = world;
     const { zone } = location;
@@ -277,7 +277,7 @@
           clock,
           random,
           route,
-          this.workFactor * this.slowFactor(),
+          { ...this.speed, factor: this.speed.factor * this.slowFactor() },
           deadlineAt - clock.now(),
           (name, deadlineMs, nestedDone) =>
             this.ingress(
--- a/lab/simulator/sidecars/sim-target-work.ts
+++ b/lab/simulator/sidecars/sim-target-work.ts
@@ -5,7 +5,8 @@
 import type { Clock, Timer } from '../../../src/common/clock.js';
 import type { RandomSource } from '../../../src/common/random.js';
 import type { Cancellable } from '../../model/cancellable.js';
-import type { SimRoute } from './call-graph.js';
+import type { LongRuns, SimRoute } from './call-graph.js';
+import type { SpeedBursts } from './speed-bursts.js';
 
 /** Sends a nested call of the target. `done` receives its status. */
 export type NestedSender = (
@@ -14,6 +15,15 @@
   done: (status: number) => void,
 ) => Cancellable;
 
+/** How fast the target works. */
+export interface WorkSpeed {
+  /** Multiple of the work time of the route. */
+  readonly factor: number;
+  /** Undefined if the speed does not change. */
+  readonly bursts: SpeedBursts | undefined;
+  readonly longRuns: LongRuns | undefined;
+}
+
 const STATUS_OK = 200;
 const STATUS_FAILED = 500;
 const STATUS_DEADLINE = 504;
@@ -38,7 +48,7 @@
     private readonly clock: Clock,
     random: RandomSource,
     route: SimRoute,
-    workFactor: number,
+    private readonly speed: WorkSpeed,
     private readonly deadlineMs: number,
     private readonly send: NestedSender,
     private readonly done: (status: number) => void,
@@ -50,7 +60,8 @@
     const steps =
       route.nestedInParallel === true ? Math.min(1, this.calls.length) : this.calls.length;
     this.callsPerStep = steps === 0 ? 0 : this.calls.length / steps;
-    this.stepMs = (route.workMs * workFactor * spread) / (steps + 1);
+    const long = drawLongRun(speed.longRuns, random);
+    this.stepMs = (route.workMs * speed.factor * spread * long) / (steps + 1);
     this.startedAt = clock.now();
     this.deadlineTimer = clock.schedule(deadlineMs, () => this.finish(STATUS_DEADLINE));
     this.scheduleStep();
@@ -65,7 +76,20 @@
   }
 
   private scheduleStep(): void {
-    this.timer = this.clock.schedule(this.stepMs, () => this.onStepDone());
+    this.scheduleWork(this.stepMs);
+  }
+
+  /** @param workMs work left in the step, in milliseconds at the usual speed */
+  private scheduleWork(workMs: number): void {
+    const { bursts } = this.speed;
+    const factor = bursts?.factorAt(this.clock.now()) ?? 1;
+    const phaseMs = bursts?.phaseLeftMs(this.clock.now()) ?? Infinity;
+    if (workMs * factor <= phaseMs) {
+      this.timer = this.clock.schedule(workMs * factor, () => this.onStepDone());
+      return;
+    }
+    const leftMs = workMs - phaseMs / factor;
+    this.timer = this.clock.schedule(phaseMs, () => this.scheduleWork(leftMs));
   }
 
   private onStepDone(): void {
@@ -110,3 +134,9 @@
     for (const call of this.nestedCalls) call.cancel();
   }
 }
+
+/** Draws no random value without long runs, so that other runs keep their random sequence. */
+function drawLongRun(longRuns: LongRuns | undefined, random: RandomSource): number {
+  if (longRuns === undefined) return 1;
+  return random.next() < longRuns.part ? longRuns.factor : 1;
+}
