Routing: calls that can't be protected go to targets where a long run fits

Cause: targets of a service differ in speed, and a few runs take many times as long as usual; at slow targets these exceed the timeout of routes that may run only once, without any shortage. Change: gates report the usual and the longest recent duration of a kind with every answer; callers leave out the targets where a long run does not fit the time left, while others have room.

--- a/lab/simulator/sidecars/sim-target-work.ts
+++ b/lab/simulator/sidecars/sim-target-work.ts
@@ -57,11 +57,11 @@
       Array.from({ length: nested.times }, () => nested.route),
     );
     const spread = 1 - WORK_SPREAD + 2 * WORK_SPREAD * random.next();
+    const multiple = drawLongRun(speed.longRuns, random) ?? spread;
     const steps =
       route.nestedInParallel === true ? Math.min(1, this.calls.length) : this.calls.length;
     this.callsPerStep = steps === 0 ? 0 : this.calls.length / steps;
-    const long = drawLongRun(speed.longRuns, random);
-    this.stepMs = (route.workMs * speed.factor * spread * long) / (steps + 1);
+    this.stepMs = (route.workMs * speed.factor * multiple) / (steps + 1);
     this.startedAt = clock.now();
     this.deadlineTimer = clock.schedule(deadlineMs, () => this.finish(STATUS_DEADLINE));
     this.scheduleStep();
@@ -135,8 +135,11 @@
   }
 }
 
-/** Draws no random value without long runs, so that other runs keep their random sequence. */
-function drawLongRun(longRuns: LongRuns | undefined, random: RandomSource): number {
-  if (longRuns === undefined) return 1;
-  return random.next() < longRuns.part ? longRuns.factor : 1;
+/**
+ * Draws no random value without long runs, so that other runs keep their random sequence.
+ * @returns the multiple of the work time if the run is long
+ */
+function drawLongRun(longRuns: LongRuns | undefined, random: RandomSource): number | undefined {
+  if (longRuns === undefined) return undefined;
+  return random.next() < longRuns.part ? longRuns.factor : undefined;
 }
--- a/src/gate/call-hooks.ts
+++ b/src/gate/call-hooks.ts
@@ -4,6 +4,7 @@
  * {@link NODE_CALL_HOOKS}, which limit and track nothing.
  */
 import { ANY_CALLER, type CallerKey } from '../admission/target-rate-limiter.js';
+import type { KindPace } from '../call/outcome.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { KindRefusal } from './kind-refusal.js';
@@ -48,6 +49,8 @@
   isLikelyCause(run: WatchedRun, underWay: number): boolean;
   /** The call has left the target, or will not reach it. May be called more than once. */
   release(): void;
+  /** Durations of such calls in the target; undefined if they are not tracked, or before enough calls. */
+  kindPace(): KindPace | undefined;
   /** Congestion to report to the caller, 0 to 1; undefined if it is not tracked. */
   congestion(): number | undefined;
 }
@@ -75,5 +78,6 @@
   onMisdirected: noop,
   isLikelyCause: () => false,
   release: noop,
+  kindPace: () => undefined,
   congestion: () => undefined,
 };
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -7,6 +7,7 @@
 import { RunResult } from '../admission/kind-circuit-breaker.js';
 import { HttpStatus } from '../common/http-status.js';
 import type { CallContext } from '../call/call-context.js';
+import type { KindPace } from '../call/outcome.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import type { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { CallHooks } from './call-hooks.js';
@@ -107,6 +108,10 @@
     this.retryBudget.release();
   }
 
+  kindPace(): KindPace | undefined {
+    return this.services.kindPace.paceOf(this.context.kind);
+  }
+
   congestion(): number {
     const queueLevel = this.queueLevel.current();
     return reportedCongestion(this.services, this.context.kind, this.isNested, queueLevel);
@@ -115,9 +120,13 @@
   /** Records once how the run in the target ended. */
   private endRun(result: RunResult): void {
     if (this.arrivedAt === undefined) return;
-    const { runOutcomes, clock } = this.services;
-    runOutcomes.onEnd(this.context.kind, result, clock.now() - this.arrivedAt);
+    const { runOutcomes, kindPace, clock } = this.services;
+    const { kind } = this.context;
+    const durationMs = clock.now() - this.arrivedAt;
     this.arrivedAt = undefined;
+    runOutcomes.onEnd(kind, result, durationMs);
+    if (result === RunResult.Answered) kindPace.onAnswered(kind, durationMs);
+    if (result === RunResult.GivenUp) kindPace.onGivenUp(kind, durationMs);
   }
 
   private get queueLevel(): CongestionLevel {
--- a/src/gate/inbound-services.ts
+++ b/src/gate/inbound-services.ts
@@ -9,6 +9,7 @@
 import type { Verdict } from '../common/verdict.js';
 import type { KeyClaims } from '../dedup/claim.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
+import type { KindPaceTracker } from './kind-pace-tracker.js';
 import type { KindLimitServices } from './call-kind-limit.js';
 import type { Refusal } from '../call/refusal.js';
 import type { RetryBudgetServices } from './call-retry-budget.js';
@@ -47,6 +48,8 @@
   readonly crashGuard: GateCrashGuard;
   /** Tracks whether the target answers calls in time. */
   readonly runOutcomes: KindCircuitBreaker;
+  /** Durations of calls in the target, by kind. */
+  readonly kindPace: KindPaceTracker;
 }
 
 /** How an inbound call ended. */
--- a/src/gate/outcome-builder.ts
+++ b/src/gate/outcome-builder.ts
@@ -57,6 +57,8 @@
   private loadReport(): LoadReport {
     const { inFlight, waiting, limit } = this.admission.status();
     const { repeatRoom } = this.hooks;
-    return { inFlight: inFlight + waiting, limit, repeatRoom };
+    const kindPace = this.hooks.kindPace();
+    const load = { inFlight: inFlight + waiting, limit, repeatRoom };
+    return kindPace === undefined ? load : { ...load, kindPace };
   }
 }
--- a/src/outbound/hedge-timer.ts
+++ b/src/outbound/hedge-timer.ts
@@ -21,9 +21,15 @@
   /** Starts the delay anew for the attempt that is about to be sent, if that may be hedged. */
   restart(): void {
     this.cancel();
+    const delayMs = this.delayMs();
+    if (delayMs !== undefined) this.timer = this.dependencies.clock.schedule(delayMs, this.onDue);
+  }
+
+  /** Delay until an attempt that is sent now is hedged, in milliseconds; undefined if it is not hedged. */
+  delayMs(): number | undefined {
     const { hedgeDelayFactor, repeatable, allowance, trafficClass, deadlineAt } = this.request;
     const { balancer, clock } = this.dependencies;
-    const delayMs = decideHedgeDelay({
+    return decideHedgeDelay({
       delayFactor: hedgeDelayFactor,
       repeatable,
       replayable: this.transport.replayable,
@@ -31,7 +37,6 @@
       usualLatencyMs: balancer.baselineLatencyMs(trafficClass),
       remainingMs: deadlineAt - clock.now(),
     });
-    if (delayMs !== undefined) this.timer = clock.schedule(delayMs, this.onDue);
   }
 
   cancel(): void {
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -108,13 +108,33 @@
   }
 
   private sendAttempt(): void {
-    const pick = this.pickTarget();
+    const pick = this.pickTarget(this.isHedgedInTime);
     if (pick === undefined) this.refuse(this.noTargetCause());
     else this.sendTo(pick, { isHedge: false });
   }
 
-  private pickTarget(): EndpointPick | undefined {
-    return this.dependencies.balancer.pick(this.triedEndpointIds, this.request);
+  /** @param isHedged whether another target can still answer if the chosen one takes too long */
+  private pickTarget(isHedged: boolean): EndpointPick | undefined {
+    const { trafficClass, priority } = this.request;
+    const mustFitMs = isHedged ? undefined : this.remainingMs;
+    return this.dependencies.balancer.pick(this.triedEndpointIds, {
+      trafficClass,
+      priority,
+      mustFitMs,
+    });
+  }
+
+  /** Whether the next attempt is hedged early enough for another target to answer. */
+  private get isHedgedInTime(): boolean {
+    const delayMs = this.hedgeTimer.delayMs();
+    if (delayMs === undefined) return false;
+    const usualMs = this.dependencies.balancer.baselineLatencyMs(this.request.trafficClass) ?? 0;
+    return delayMs + usualMs <= this.remainingMs;
+  }
+
+  /** Milliseconds left until the deadline. */
+  private get remainingMs(): number {
+    return this.request.deadlineAt - this.dependencies.clock.now();
   }
 
   private noTargetCause(): RefusalCause {
@@ -142,7 +162,7 @@
   /** Sends a hedged request to another target, if one is left and the retry budget allows it. */
   private sendHedgedRequest(): void {
     if (this.isFinished || this.hasAnswerStarted || this.attempts.isHedged) return;
-    const pick = this.pickTarget();
+    const pick = this.pickTarget(false);
     if (pick === undefined) return;
     const decision = decideHedge({
       targetAcceptsRepeats: pick.acceptsRepeats,
@@ -246,7 +266,7 @@
       replayable: this.transport.replayable,
       reroutes: this.reroutes,
       maxOverloadReroutes: this.request.overloadReroutes ?? 0,
-      remainingMs: this.request.deadlineAt - this.dependencies.clock.now(),
+      remainingMs: this.remainingMs,
       ...this.retryFunds(),
     });
     if (step.type === 'give-up') {
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -13,7 +13,7 @@
 /** Creates the gate, which admits calls from other machines to the target. */
 export function createGate(parts: SidecarParts): GateServer {
   const { clock, admission, lease, journal, stopProgress, settings, headers } = parts;
-  const { queueLevels, downstream, retryBudget, repeatedRuns, crashGuard, instancePool } = parts;
+  const { kindPace, queueLevels, downstream, retryBudget, repeatedRuns, crashGuard, instancePool } = parts;
   const durations = new CallDurations();
   return new GateServer({
     services: {
@@ -27,6 +27,7 @@
       kindImpact: new KindImpact(clock),
       kindLimiter: new KindLimiter(clock),
       runOutcomes: new KindCircuitBreaker(),
+      kindPace,
       retryBudget,
       repeatedRuns,
       crashGuard,
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -16,6 +16,7 @@
 import type { ConfigurationView } from '../follower/configuration-view.js';
 import type { Follower } from '../follower/follower.js';
 import { GATE_SHARING, QUEUE_WAIT_MS, USABLE_SLOT_FRACTION } from '../gate/gate-policy.js';
+import { KindPaceTracker } from '../gate/kind-pace-tracker.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { LinkPool } from '../link/link-pool.js';
 import { TargetAnnouncements } from '../membership/target-announcements.js';
@@ -83,6 +84,8 @@
   /** Congestion of the queue in front of the target, indexed by importance. */
   readonly queueLevels: readonly CongestionLevel[];
   readonly retryBudget: ServiceRetryBudget;
+  /** Durations of calls in the target, by kind. */
+  readonly kindPace: KindPaceTracker;
 }
 
 /** Routing of requests and the quota of each group. */
@@ -191,6 +194,7 @@
   const limiter = new SlotLimiter(USABLE_SLOT_FRACTION);
   return {
     limiter,
+    kindPace: new KindPaceTracker(clock),
     admission: new AdmissionController({
       clock,
       random,
--- a/src/programs/sidecar-target.ts
+++ b/src/programs/sidecar-target.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
 import type { Follower } from '../follower/follower.js';
+import type { KindPaceTracker } from '../gate/kind-pace-tracker.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { incarnationName, isSameIncarnation, type Incarnation } from '../membership/incarnation.js';
 import type { TargetAnnouncements } from '../membership/target-announcements.js';
@@ -31,6 +32,7 @@
   readonly instancePool: TargetConnectionPool;
   readonly crashGuard: CrashGuard;
   readonly retryBudget: ServiceRetryBudget;
+  readonly kindPace: KindPaceTracker;
   readonly stopProgress: StopProgress;
 }
 
@@ -122,6 +124,7 @@
     const { logger } = this;
     const left = this.announcedTarget && incarnationName(this.announcedTarget);
     this.incarnation += 1;
+    this.getParts().kindPace.reset();
     this.onServiceChanged(current?.service ?? '');
     if (current === undefined) logger.info('There is no target now.', { left });
     else logger.info('Using a new target.', { ...current, left });
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -8,9 +8,11 @@
 import type { Outcome } from '../call/outcome.js';
 import type { EndpointRecord, EndpointResult } from '../call/endpoint.js';
 import { EndpointView } from './endpoint-view.js';
+import { selectByDuration } from './expected-duration.js';
 import { LatencyBaseline } from './latency-baseline.js';
+import { LongRunRatios } from './long-run-ratios.js';
 import { chooseSubset, SUBSET_SIZE } from './subset.js';
-import { chooseTarget } from './target-choice.js';
+import { chooseTarget, type CostContext } from './target-choice.js';
 
 /** Smoothing factor of the mean of the reported limits, an exponential moving average over about five reports. */
 const LIMIT_WEIGHT = 0.2;
@@ -53,6 +55,11 @@
   /** Groups calls that take about the same time at every endpoint. */
   readonly trafficClass: string;
   readonly priority: CallPriority;
+  /**
+   * Time that the call has left, in milliseconds, if a run that exceeds it can't be mended by another attempt. Absent if the
+   * call may go to any target, however slow.
+   */
+  readonly mustFitMs?: number | undefined;
 }
 
 /** How the attempt at a chosen endpoint ended. */
@@ -69,6 +76,7 @@
   /** Larger than usual after all endpoints of the usual subset were at their rate limits. */
   private subsetSize = SUBSET_SIZE;
   private readonly baseline = new LatencyBaseline();
+  private readonly longRuns = new LongRunRatios();
   private readonly leavingUntil = new Map<string, number>();
   private hasSeenEndpoints = false;
   /** Exponential moving average of the limits that nodes reported, in calls. */
@@ -100,11 +108,12 @@
   pick(excluded: ReadonlySet<string>, request: PickRequest): EndpointPick | undefined {
     const now = this.options.clock.now();
     const { trafficClass, priority } = request;
-    const view = chooseTarget(this.findCandidates(excluded, priority, now), {
-      callerZone: this.options.callerZone,
-      context: { now, slowStartMs: this.options.slowStartMs(), meanLimit: this.meanLimit },
-      random: this.options.random,
-    });
+    const { callerZone, random } = this.options;
+    const slowStartMs = this.options.slowStartMs();
+    const context = { now, slowStartMs, meanLimit: this.meanLimit };
+    const candidates = this.findCandidates(excluded, priority, now);
+    const usable = this.selectByDuration(candidates, request, context);
+    const view = chooseTarget(usable, { callerZone, context, random });
     if (view === undefined) return undefined;
     view.onStart();
     return {
@@ -126,6 +135,18 @@
     return ahead.length === 0 ? undefined : Math.min(...ahead);
   }
 
+  /** Leaves out the endpoints that are too slow for a call that can't be protected from them. */
+  private selectByDuration(
+    candidates: readonly EndpointView[],
+    { trafficClass, mustFitMs }: PickRequest,
+    context: CostContext,
+  ): readonly EndpointView[] {
+    const longRunRatio = this.longRuns.ratioOf(trafficClass);
+    if (mustFitMs === undefined || longRunRatio === undefined) return candidates;
+    const call = { trafficClass, remainingMs: mustFitMs, longRunRatio };
+    return selectByDuration(candidates, call, { context, random: this.options.random });
+  }
+
   private chooseViews(): void {
     const { callerId, callerZone, clock } = this.options;
     const now = clock.now();
@@ -150,7 +171,10 @@
     view.onEnd(result, now);
     if (outcome?.returnInMs !== undefined) view.pause(priority, now + outcome.returnInMs);
     if (outcome?.load !== undefined) {
-      view.onLoad(outcome.load, now);
+      view.onLoad(outcome.load, trafficClass, now);
+      if (outcome.load.kindPace !== undefined) {
+        this.longRuns.record(trafficClass, outcome.load.kindPace);
+      }
       this.meanLimit += LIMIT_WEIGHT * (outcome.load.limit - this.meanLimit);
     }
     const isTargetsAnswer = result === 'answered' && outcome?.refusal === undefined;
--- a/src/routing/endpoint-view.ts
+++ b/src/routing/endpoint-view.ts
@@ -3,11 +3,13 @@
  * failures. Computes the cost by which endpoints are compared.
  */
 import type { CallPriority } from '../admission/call-priority.js';
-import type { LoadReport } from '../call/outcome.js';
+import type { KindPace, LoadReport } from '../call/outcome.js';
+import { BoundedMap } from '../common/bounded-map.js';
 import { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { EndpointRecord, EndpointResult } from '../call/endpoint.js';
 import { OutlierDetector } from './outlier-detector.js';
-import type { Candidate, CostContext } from './target-choice.js';
+import type { PacedCandidate } from './expected-duration.js';
+import type { CostContext } from './target-choice.js';
 
 /** Smoothing factor of the latency ratio, an exponential moving average over about five answers. */
 const LATENCY_RATIO_WEIGHT = 0.2;
@@ -27,7 +29,22 @@
 /** Weight at the beginning of the slow start, as a fraction of the full weight: a few calls are needed to warm up. */
 const MIN_SLOW_START_WEIGHT = 0.1;
 
-export class EndpointView implements Candidate {
+/**
+ * Time for which a reported pace is used, in milliseconds. The pace is a property of the target; without an end, an endpoint
+ * that was slow once would get no calls that show that it has become faster.
+ */
+const PACE_TTL_MS = 300_000;
+
+/** Maximum number of traffic classes whose pace is kept; bounds memory when routes are added and removed. */
+const MAX_CLASSES = 1_000;
+
+interface ReportedPace {
+  readonly pace: KindPace;
+  /** Monotonic milliseconds. */
+  readonly reportedAt: number;
+}
+
+export class EndpointView implements PacedCandidate {
   private inFlight = 0;
   /** Latency as a multiple of the baseline of the same traffic classes, as of `latencyRatioAt`. */
   private latestLatencyRatio = 1;
@@ -38,6 +55,8 @@
   private load: LoadReport | undefined;
   /** Monotonic milliseconds. */
   private loadAt = 0;
+  /** Durations of calls by traffic class, as the gate reported them. */
+  private readonly paces = new BoundedMap<ReportedPace>(MAX_CLASSES);
   private readonly outliers = new OutlierDetector();
   /** Start of the slow start, in monotonic milliseconds; -Infinity if there is none. */
   private slowStartFrom: number;
@@ -55,6 +74,7 @@
     if (record.incarnation !== this.record.incarnation) {
       this.slowStartFrom = now;
       this.load = undefined;
+      this.paces.clear();
       this.latestLatencyRatio = 1;
       this.pausedUntil.clear();
     }
@@ -93,10 +113,18 @@
     this.latencyRatioAt = now;
   }
 
-  /** Records the load that the gate reported with an answer. */
-  onLoad(load: LoadReport, now: number): void {
+  /** Records the load that the gate reported with an answer to a call of a traffic class. */
+  onLoad(load: LoadReport, trafficClass: string, now: number): void {
     this.load = load;
     this.loadAt = now;
+    if (load.kindPace === undefined) return;
+    this.paces.set(trafficClass, { pace: load.kindPace, reportedAt: now });
+  }
+
+  pace(trafficClass: string, now: number): KindPace | undefined {
+    const reported = this.paces.get(trafficClass);
+    if (reported === undefined || now - reported.reportedAt > PACE_TTL_MS) return undefined;
+    return reported.pace;
   }
 
   /** The gate announced when it wants the next call of a priority. @param until monotonic milliseconds */
--- /dev/null
+++ b/src/routing/expected-duration.ts
@@ -0,0 +1,119 @@
+/**
+ * Restricts the candidates for a call that can't be protected in another way to the targets where it is expected to be
+ * answered before its deadline. Targets of one service differ in speed, and a few runs take many times as long as usual: at a
+ * slow target these exceed the timeout of the route, at a fast one they fit. Does nothing unless a target is known to be too
+ * slow for the call. Asked for each attempt, before the choice among the candidates (target-choice.ts).
+ *
+ * - A call fits a target if a long run there takes no longer than the time that the call has left.
+ * - Where it fits nowhere, the targets that are expected to finish soonest are used.
+ * - The fuller a target is, the less likely it is used, so that callers with the same knowledge don't fill the fastest one.
+ * - Targets of unknown pace get a few calls, by which callers learn their pace.
+ */
+import type { KindPace } from '../call/outcome.js';
+import type { RandomSource } from '../common/random.js';
+import type { Candidate, CostContext } from './target-choice.js';
+
+/** Occupancy up to which a target is used without reservation. */
+const FREE_OCCUPANCY = 0.4;
+
+/** Occupancy from which a target is not preferred, however fast it is. Below 1, so that no queue forms there. */
+const FULL_OCCUPANCY = 0.75;
+
+/** Targets whose expected duration is at most this multiple of the shortest count as equally fast. */
+const SOONEST_RATIO = 1.25;
+
+/** Fraction of the choices in which a target of unknown pace is a candidate beside those where the call fits. */
+const EXPLORATION_FRACTION = 0.2;
+
+/** A candidate that may know how long calls take there. */
+export interface PacedCandidate extends Candidate {
+  /** Durations that the gate reported for a traffic class; undefined if they are unknown or outdated. */
+  pace(trafficClass: string, now: number): KindPace | undefined;
+}
+
+/** The call for which candidates are selected. */
+export interface TimedCall {
+  readonly trafficClass: string;
+  /** Time left until the deadline, in milliseconds. */
+  readonly remainingMs: number;
+  /** Typical ratio of long to usual durations of the class over all targets. */
+  readonly longRunRatio: number;
+}
+
+export interface DurationOptions {
+  readonly context: CostContext;
+  readonly random: RandomSource;
+}
+
+interface Estimate<T> {
+  readonly candidate: T;
+  /** Expected duration of a usual run, in milliseconds; undefined if it is unknown. */
+  readonly usualMs: number | undefined;
+}
+
+type KnownEstimate<T> = Estimate<T> & { readonly usualMs: number };
+
+/** Returns the candidates to choose from: all of them if the call fits everywhere, or if no better one has room. */
+export function selectByDuration<T extends PacedCandidate>(
+  candidates: readonly T[],
+  call: TimedCall,
+  { context, random }: DurationOptions,
+): readonly T[] {
+  const estimates = estimateDurations(candidates, call.trafficClass, context.now);
+  const fits = (usualMs: number): boolean => usualMs * call.longRunRatio <= call.remainingMs;
+  const known = estimates.filter(isKnown);
+  if (known.every(({ usualMs }) => fits(usualMs))) return candidates;
+  const withRoom = estimates.filter((estimate) => drawRoom(estimate.candidate, context, random));
+  const fitting = withRoom.filter(isKnown).filter(({ usualMs }) => fits(usualMs));
+  const chosen =
+    fitting.length > 0
+      ? [...fitting, ...selectExplored(withRoom, random)]
+      : selectSoonest(withRoom, meanUsualMs(known));
+  return chosen.length === 0 ? candidates : chosen.map(({ candidate }) => candidate);
+}
+
+function estimateDurations<T extends PacedCandidate>(
+  candidates: readonly T[],
+  trafficClass: string,
+  now: number,
+): Estimate<T>[] {
+  const paces = candidates.map((candidate) => candidate.pace(trafficClass, now)?.usualMs);
+  const known = paces.filter((usualMs) => usualMs !== undefined);
+  const meanMs = known.reduce((total, usualMs) => total + usualMs, 0) / known.length;
+  return candidates.map((candidate, index) => {
+    const usualMs = paces[index];
+    if (usualMs === undefined) return { candidate, usualMs };
+    // The latency ratio contains the pace of the target; what exceeds it is a present trouble.
+    const excess = candidate.latencyRatio(now) / Math.max(1, usualMs / meanMs);
+    return { candidate, usualMs: usualMs * Math.max(1, excess) };
+  });
+}
+
+/** Whether a target may be preferred; less likely the fuller it is. Draws a random number only in between. */
+function drawRoom(candidate: Candidate, context: CostContext, random: RandomSource): boolean {
+  const occupancy = candidate.occupancy(context);
+  if (occupancy < FREE_OCCUPANCY) return true;
+  if (occupancy >= FULL_OCCUPANCY) return false;
+  return random.next() > (occupancy - FREE_OCCUPANCY) / (FULL_OCCUPANCY - FREE_OCCUPANCY);
+}
+
+function selectExplored<T>(estimates: readonly Estimate<T>[], random: RandomSource): Estimate<T>[] {
+  const unknown = estimates.filter((estimate) => !isKnown(estimate));
+  if (unknown.length === 0 || random.next() >= EXPLORATION_FRACTION) return [];
+  return unknown;
+}
+
+/** @param unknownMs duration expected where it is unknown, in milliseconds */
+function selectSoonest<T>(estimates: readonly Estimate<T>[], unknownMs: number): Estimate<T>[] {
+  const durations = estimates.map(({ usualMs = unknownMs }) => usualMs);
+  const bound = SOONEST_RATIO * Math.min(...durations);
+  return estimates.filter((_, index) => durations[index]! <= bound);
+}
+
+function meanUsualMs(known: readonly KnownEstimate<unknown>[]): number {
+  return known.reduce((total, { usualMs }) => total + usualMs, 0) / known.length;
+}
+
+function isKnown<T>(estimate: Estimate<T>): estimate is KnownEstimate<T> {
+  return estimate.usualMs !== undefined;
+}
