--- a/lab/simulator/sidecars/sim-gate-services.ts
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -14,6 +14,7 @@
 import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
 import { GATE_SHARING, QUEUE_WAIT_MS } from '../../../src/gate/gate-policy.js';
 import { KindPaceTracker } from '../../../src/gate/kind-pace-tracker.js';
+import { UnservedRuns } from '../../../src/gate/unserved-runs.js';
 import type { GateServices } from '../../../src/gate/inbound-services.js';
 import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
 import type { RepeatedRuns } from '../../../src/retry/repeated-runs.js';
@@ -51,6 +52,7 @@
     kindLimiter: new KindLimiter(clock),
     runOutcomes: new KindCircuitBreaker(),
     kindPace: new KindPaceTracker(clock),
+    unservedRuns: new UnservedRuns(clock),
     retryBudget,
     repeatedRuns,
     onMisdirected: () => undefined,
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -45,7 +45,7 @@
 import { simGateServices } from './sim-gate-services.js';
 import type { RunEnd, SlotAccount, SlotUse } from './slot-account.js';
 import { SimPeerTransport } from './sim-peer-transport.js';
-import { SimTargetTransport, type TargetFaults } from './sim-target-transport.js';
+import { NO_TARGET_FAULTS, SimTargetTransport, type TargetFaults } from './sim-target-transport.js';
 import { SimTargetWork, type WorkSpeed } from './sim-target-work.js';
 import type { Cancellable } from '../../model/cancellable.js';
 
@@ -269,7 +269,7 @@
     const route = this.world.route(kind);
     const arrivedAt = clock.now();
     return new SimTargetTransport(
-      { clock, random, faults: () => this.world.targetFaults(this.service.name) },
+      { clock, random, faults: () => this.faults() },
       (done) => {
         const isRepeat = this.countArrival(lineage);
         const use = this.startUse(kind, lineage, clock.now() - arrivedAt);
@@ -323,6 +323,13 @@
     use.runEnd = runEnd;
   }
 
+  /** Faults injected at this target. */
+  private faults(): TargetFaults {
+    const faults = this.world.targetFaults(this.service.name);
+    const { faultyPart = 1 } = faults;
+    return this.index < faultyPart * this.service.targets ? faults : NO_TARGET_FAULTS;
+  }
+
   private slowFactor(): number {
     const { slowPart = 0, slowFactor = 1 } = this.world.targetFaults(this.service.name);
     return this.index < slowPart * this.service.targets ? slowFactor : 1;
--- a/lab/simulator/sidecars/sim-target-transport.ts
+++ b/lab/simulator/sidecars/sim-target-transport.ts
@@ -10,6 +10,8 @@
   readonly rejectedPart: number;
   /** Fraction of answers lost after the call has run, 0 to 1. */
   readonly lostPart: number;
+  /** Fraction of the targets, in order of their index, that reject calls and lose answers, 0 to 1. Default 1. */
+  readonly faultyPart?: number;
   /** Fraction of the targets, in order of their index, that are slow, 0 to 1. Default 0. */
   readonly slowPart?: number;
   /** Multiple of the normal work time at slow targets. Default 1. */
--- a/src/call/outcome.ts
+++ b/src/call/outcome.ts
@@ -18,6 +18,8 @@
   readonly repeatRoom?: AcceptedRepeats;
   /** Durations of calls of the answered kind at this target. Absent before enough calls, and from nodes. */
   readonly kindPace?: KindPace;
+  /** Share of the runs at this target that end without a usable answer, 0 to 1. Absent if negligible, and from nodes. */
+  readonly unservedShare?: number;
 }
 
 /** How long calls of one kind take in one target. */
--- a/src/gate/call-hooks.ts
+++ b/src/gate/call-hooks.ts
@@ -40,6 +40,11 @@
    * @param timeInTargetMs time since the call was admitted, in milliseconds
    */
   onAnswer(status: number, timeInTargetMs: number): void;
+  /**
+   * The call ended without a usable answer of the target: its connection broke, the answer was not to this request, or the
+   * target rejected it although it has room.
+   */
+  onUnserved(): void;
   /** Another target answered at the address of the expected incarnation. */
   onMisdirected(expectedIncarnation: string): void;
   /**
@@ -51,6 +56,8 @@
   release(): void;
   /** Durations of such calls in the target; undefined if they are not tracked, or before enough calls. */
   kindPace(): KindPace | undefined;
+  /** Share of the runs at the target without a usable answer, 0 to 1; undefined if it is negligible or not tracked. */
+  unservedShare(): number | undefined;
   /** Congestion to report to the caller, 0 to 1; undefined if it is not tracked. */
   congestion(): number | undefined;
 }
@@ -75,9 +82,11 @@
   onNotAdmitted: noop,
   onDispatch: () => undefined,
   onAnswer: noop,
+  onUnserved: noop,
   onMisdirected: noop,
   isLikelyCause: () => false,
   release: noop,
   kindPace: () => undefined,
+  unservedShare: () => undefined,
   congestion: () => undefined,
 };
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -91,7 +91,19 @@
 
   onAnswer(status: number, timeInTargetMs: number): void {
     this.kindLimit.onAnswer(status, timeInTargetMs);
-    this.endRun(runResultOf(status));
+    const result = runResultOf(status);
+    // A target that is slow is not one that fails: see `runOutcomes`.
+    if (result !== RunResult.GivenUp)
+      this.services.unservedRuns.onRun(result === RunResult.Answered);
+    this.endRun(result);
+  }
+
+  onUnserved(): void {
+    this.services.unservedRuns.onRun(false);
+  }
+
+  unservedShare(): number | undefined {
+    return this.services.unservedRuns.reportedShare();
   }
 
   onMisdirected(expectedIncarnation: string): void {
--- a/src/gate/inbound-call.ts
+++ b/src/gate/inbound-call.ts
@@ -147,6 +147,7 @@
     // Read before the call releases its own slot.
     const isFull = isTargetNearCapacity(this.services.admission.status());
     this.release('dropped');
+    if (fault === 'foreign' || (fault === 'not-executed' && !isFull)) this.hooks.onUnserved();
     if (fault === 'foreign') {
       // Later answers on this connection could not be matched to requests either.
       this.attempt?.cancel();
@@ -167,6 +168,7 @@
 
   private onFailure(failure: AttemptFailure): void {
     this.run?.end(failure.written ? RunEnd.Lost : RunEnd.Failed);
+    if (failure.written && failure.reason !== 'caller-gone') this.hooks.onUnserved();
     this.release(failure.reason === 'caller-gone' ? 'cancelled' : 'dropped');
     const targetState = this.run?.targetState();
     if (this.answerBegan) {
--- a/src/gate/outcome-builder.ts
+++ b/src/gate/outcome-builder.ts
@@ -58,7 +58,13 @@
     const { inFlight, waiting, limit } = this.admission.status();
     const { repeatRoom } = this.hooks;
     const kindPace = this.hooks.kindPace();
-    const load = { inFlight: inFlight + waiting, limit, repeatRoom };
-    return kindPace === undefined ? load : { ...load, kindPace };
+    const unservedShare = this.hooks.unservedShare();
+    return {
+      inFlight: inFlight + waiting,
+      limit,
+      repeatRoom,
+      ...(kindPace !== undefined && { kindPace }),
+      ...(unservedShare !== undefined && { unservedShare }),
+    };
   }
 }
--- /dev/null
+++ b/src/gate/unserved-runs.ts
@@ -0,0 +1,46 @@
+/**
+ * Tracks the share of the runs at the target beside this gate that ended without a usable answer: lost with their connection,
+ * answered for another request, rejected although the target has room, or failed. Only this gate sees all runs of its target;
+ * each of many callers would need seconds to notice that some of them fail. Reported to callers, which send their calls to
+ * other targets meanwhile (routing/reliable-targets.ts). Covers one incarnation of the target.
+ */
+import type { Clock } from '../common/clock.js';
+
+/** Smoothing factor of the share, an exponential moving average over about twenty runs. */
+const SMOOTHING_FACTOR = 0.05;
+
+/** Time constant with which the share decays while there are few runs, in milliseconds, so that callers try again. */
+const DECAY_MS = 3_000;
+
+/** Share below which nothing is reported: single failures are usual. */
+const MIN_REPORTED_SHARE = 0.05;
+
+export class UnservedRuns {
+  private share = 0;
+  /** Monotonic milliseconds. */
+  private updatedAt = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Forgets all runs: the target was replaced. */
+  reset(): void {
+    this.share = 0;
+  }
+
+  /** Records the end of a run. */
+  onRun(isServed: boolean): void {
+    const before = this.current();
+    this.share = before + SMOOTHING_FACTOR * ((isServed ? 0 : 1) - before);
+    this.updatedAt = this.clock.now();
+  }
+
+  /** The share to report to callers, 0 to 1; undefined if it is negligible. */
+  reportedShare(): number | undefined {
+    const share = this.current();
+    return share < MIN_REPORTED_SHARE ? undefined : share;
+  }
+
+  private current(): number {
+    return this.share * Math.exp((this.updatedAt - this.clock.now()) / DECAY_MS);
+  }
+}
--- a/src/link/outcome-fields.ts
+++ b/src/link/outcome-fields.ts
@@ -23,6 +23,8 @@
   /** Usual and longest recent duration of the kind at the target, in milliseconds. */
   kindPace?: [usualMs: number, longMs: number] | null,
   bottleneck?: [service: string, pressure: number] | null,
+  /** Share of the runs at the target that end without a usable answer, 0 to 1. */
+  unservedShare?: number | null,
 ];
 
 /** Number of fields that every version sends. */
@@ -57,6 +59,7 @@
     returnInMs === undefined ? null : Math.ceil(returnInMs),
     pace === undefined ? null : [Math.round(pace.usualMs), Math.round(pace.longMs)],
     bottleneck === undefined ? null : [bottleneck.service, bottleneck.pressure],
+    load?.unservedShare ?? null,
   );
   while (fields.length > COMMON_FIELDS && fields.at(-1) === null) fields.pop();
 }
@@ -78,6 +81,7 @@
     returnInMs,
     kindPace,
     bottleneck,
+    unservedShare,
   ] = fields;
   return {
     verdict,
@@ -93,6 +97,7 @@
             limit,
             repeatRoom,
             ...(isPair(kindPace) && { kindPace: toKindPace(kindPace) }),
+            ...(typeof unservedShare === 'number' && { unservedShare }),
           },
     ...(congestion !== null && { congestion }),
     ...(rejectedByTarget && { rejectedByTarget }),
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -115,11 +115,12 @@
 
   /** @param isHedged whether another target can still answer if the chosen one takes too long */
   private pickTarget(isHedged: boolean): EndpointPick | undefined {
-    const { trafficClass, priority } = this.request;
+    const { trafficClass, priority, repeatable } = this.request;
     const mustFitMs = isHedged ? undefined : this.remainingMs;
     return this.dependencies.balancer.pick(this.triedEndpointIds, {
       trafficClass,
       priority,
+      repeatable,
       mustFitMs,
     });
   }
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -17,6 +17,7 @@
 import type { Follower } from '../follower/follower.js';
 import { GATE_SHARING, QUEUE_WAIT_MS, USABLE_SLOT_FRACTION } from '../gate/gate-policy.js';
 import { KindPaceTracker } from '../gate/kind-pace-tracker.js';
+import { UnservedRuns } from '../gate/unserved-runs.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { LinkPool } from '../link/link-pool.js';
 import { TargetAnnouncements } from '../membership/target-announcements.js';
@@ -86,6 +87,7 @@
   readonly retryBudget: ServiceRetryBudget;
   /** Durations of calls in the target, by kind. */
   readonly kindPace: KindPaceTracker;
+  readonly unservedRuns: UnservedRuns;
 }
 
 /** Routing of requests and the quota of each group. */
@@ -195,6 +197,7 @@
   return {
     limiter,
     kindPace: new KindPaceTracker(clock),
+    unservedRuns: new UnservedRuns(clock),
     admission: new AdmissionController({
       clock,
       random,
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -11,6 +11,7 @@
 import { selectByDuration } from './expected-duration.js';
 import { LatencyBaseline } from './latency-baseline.js';
 import { LongRunRatios } from './long-run-ratios.js';
+import { selectReliable } from './reliable-targets.js';
 import { chooseSubset, SUBSET_SIZE } from './subset.js';
 import { chooseTarget, type CostContext } from './target-choice.js';
 
@@ -60,6 +61,8 @@
    * call may go to any target, however slow.
    */
   readonly mustFitMs?: number | undefined;
+  /** Whether the call may run more than once. Default true. */
+  readonly repeatable?: boolean;
 }
 
 /** How the attempt at a chosen endpoint ended. */
@@ -112,7 +115,8 @@
     const slowStartMs = this.options.slowStartMs();
     const context = { now, slowStartMs, meanLimit: this.meanLimit };
     const candidates = this.findCandidates(excluded, priority, now);
-    const usable = this.selectByDuration(candidates, request, context);
+    const reliable = selectReliable(candidates, request.repeatable ?? true, context);
+    const usable = this.selectByDuration(reliable, request, context);
     const view = chooseTarget(usable, { callerZone, context, random });
     if (view === undefined) return undefined;
     view.onStart();
--- a/src/routing/endpoint-view.ts
+++ b/src/routing/endpoint-view.ts
@@ -9,6 +9,7 @@
 import type { EndpointRecord, EndpointResult } from '../call/endpoint.js';
 import { OutlierDetector } from './outlier-detector.js';
 import type { PacedCandidate } from './expected-duration.js';
+import type { ReportingCandidate } from './reliable-targets.js';
 import type { CostContext } from './target-choice.js';
 
 /** Smoothing factor of the latency ratio, an exponential moving average over about five answers. */
@@ -26,6 +27,13 @@
 /** Time constant with which a reported load decays, in milliseconds. Reports become outdated when calls are rare. */
 const LOAD_DECAY_MS = 1_000;
 
+/**
+ * Time constants with which a reported share of unserved runs decays, in milliseconds. Repeatable calls find out sooner whether
+ * a target serves again.
+ */
+const UNSERVED_DECAY_MS = 6_000;
+const UNSERVED_DECAY_FOR_REPEATABLE_MS = 2_000;
+
 /** Weight at the beginning of the slow start, as a fraction of the full weight: a few calls are needed to warm up. */
 const MIN_SLOW_START_WEIGHT = 0.1;
 
@@ -44,7 +52,7 @@
   readonly reportedAt: number;
 }
 
-export class EndpointView implements PacedCandidate {
+export class EndpointView implements PacedCandidate, ReportingCandidate {
   private inFlight = 0;
   /** Latency as a multiple of the baseline of the same traffic classes, as of `latencyRatioAt`. */
   private latestLatencyRatio = 1;
@@ -143,6 +151,13 @@
     return longestMs;
   }
 
+  unservedShare(now: number, isRepeatable: boolean): number {
+    const share = this.load?.unservedShare ?? 0;
+    if (share === 0) return 0;
+    const decayMs = isRepeatable ? UNSERVED_DECAY_FOR_REPEATABLE_MS : UNSERVED_DECAY_MS;
+    return share * Math.exp((this.loadAt - now) / decayMs);
+  }
+
   /** Occupancy times latency ratio, divided by the weight of the slow start. Lower is better. */
   cost(context: CostContext): number {
     return (this.occupancy(context) * this.latencyRatio(context.now)) / this.warmupWeight(context);
--- a/test/golden/link-frames.test.ts
+++ b/test/golden/link-frames.test.ts
@@ -70,7 +70,7 @@
   body: Buffer.from('{"n":1}'),
 };
 
-const FULL_LOAD: Required<Omit<LoadReport, 'kindPace'>> = {
+const FULL_LOAD: Required<Omit<LoadReport, 'kindPace' | 'unservedShare'>> = {
   inFlight: 12,
   limit: 300,
   repeatRoom: AcceptedRepeats.Calls,
@@ -183,6 +183,10 @@
       name: 'refused, with a bottleneck',
       frame: refused({ ...FULL_OUTCOME, bottleneck: { service: 'ledger', pressure: 1.25 } }),
     },
+    {
+      name: 'refused, with a share of unserved runs',
+      frame: refused({ ...FULL_OUTCOME, load: { ...FULL_LOAD, unservedShare: 0.25 } }),
+    },
     {
       name: 'refused, with all optional fields',
       frame: refused({
