Gate: tracks the load that targets report, and turns away what a slowed target can't finish

Calls that may run once are turned away only if the caller says that another target has room, and only on the first attempt.

--- a/lab/simulator/sidecars/sim-gate-services.ts
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -13,6 +13,7 @@
 import type { RandomSource } from '../../../src/common/random.js';
 import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
 import { GATE_SHARING, QUEUE_WAIT_MS } from '../../../src/gate/gate-policy.js';
+import { TargetLoadTracker } from '../../../src/gate/target-load-tracker.js';
 import { KindPaceTracker } from '../../../src/gate/kind-pace-tracker.js';
 import type { GateServices } from '../../../src/gate/inbound-services.js';
 import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
@@ -51,6 +52,7 @@
     kindLimiter: new KindLimiter(clock),
     runOutcomes: new KindCircuitBreaker(),
     kindPace: new KindPaceTracker(clock),
+    targetLoad: new TargetLoadTracker(clock, () => undefined),
     retryBudget,
     repeatedRuns,
     onMisdirected: () => undefined,
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -287,6 +287,7 @@
               ({ status }) => nestedDone(status),
             ),
           (status) => {
+            this.reportLoad();
             this.endUse(use, status < HttpStatus.InternalServerError ? 'answered' : 'failed');
             done(status);
           },
@@ -323,6 +324,14 @@
     use.runEnd = runEnd;
   }
 
+  /** The target reports its load with each answer. Its slowdown contains its own speed. */
+  private reportLoad(): void {
+    const { bursts, factor } = this.speed;
+    const { running, service } = this;
+    const slowdown = bursts && bursts.factorAt(this.world.clock.now()) * factor;
+    this.services.targetLoad.onReport({ running, waiting: 0, slots: service.slots, slowdown });
+  }
+
   private slowFactor(): number {
     const { slowPart = 0, slowFactor = 1 } = this.world.targetFaults(this.service.name);
     return this.index < slowPart * this.service.targets ? slowFactor : 1;
--- a/src/call/call-context.ts
+++ b/src/call/call-context.ts
@@ -51,6 +51,8 @@
   readonly isRepeat?: boolean | undefined;
   /** Probability, 0 to 1, that the run that made this call was itself a repeat. Set by the ingress. Default 0. */
   readonly inheritedShare?: number | undefined;
+  /** Whether the caller can send the call to another target with room. Set by the gate. Default false. */
+  readonly isReroutable?: boolean | undefined;
   /** Digest that is the same for every retry of the request. Set by the ingress once it has read the body. */
   readonly fingerprint?: string | undefined;
   /**
--- a/src/call/transport.ts
+++ b/src/call/transport.ts
@@ -71,6 +71,11 @@
   readonly retries: number;
   /** Whether an earlier attempt of the call may have reached a target. Only sent between sidecars. */
   readonly isRepeat: boolean;
+  /**
+   * Whether the call may run only once and can be sent to another target with room, so that a gate may turn it away while its
+   * target is slowed down. Only sent between sidecars. Default false.
+   */
+  readonly isReroutable?: boolean;
 }
 
 /** Sends the attempts of one call to nodes. */
--- a/src/gate/call-admission.ts
+++ b/src/gate/call-admission.ts
@@ -9,6 +9,8 @@
  * 1. Leaving: a process that is stopping must not start calls that it cannot finish.
  * 2. Slow target: a call that the target is not expected to answer is refused at once, so that its
  *    caller can send it elsewhere.
+ *    So is a call whose caller has another target, while this one is slowed down and a long run would
+ *    exceed the deadline.
  * 3. Limit by kind: before the queue, so that a call is not refused after it has already waited.
  * 4. Retry budget: after the checks above, so that repeats that they refuse are not charged. A
  *    charged repeat is refunded if it is never sent to the target.
@@ -33,6 +35,7 @@
   leavingRefusal,
   notAdmittedRefusal,
   retryBudgetRefusal,
+  slowedTargetRefusal,
   slowTargetRefusal,
   type GateRefusal,
 } from './gate-refusals.js';
@@ -114,7 +117,8 @@
   }
 
   private checkSlowTarget(): GateRefusal | undefined {
-    return this.hooks.isTargetResponsive() ? undefined : slowTargetRefusal();
+    if (!this.hooks.isTargetResponsive()) return slowTargetRefusal();
+    return this.hooks.mayRunNow() ? undefined : slowedTargetRefusal();
   }
 
   private checkKindLimit(): GateRefusal | undefined {
--- a/src/gate/call-hooks.ts
+++ b/src/gate/call-hooks.ts
@@ -19,6 +19,8 @@
   readonly repeatRoom: AcceptedRepeats;
   /** Whether the target is expected to answer the call. */
   isTargetResponsive(): boolean;
+  /** Whether a long run would be answered in time, or the call has to be sent to this target anyway. */
+  mayRunNow(): boolean;
   /** Counts the call against the limit of its kind. @returns the cause if the limit is reached */
   acquireKindLimit(): KindRefusal | undefined;
   /**
@@ -69,6 +71,7 @@
   caller: ANY_CALLER,
   repeatRoom: AcceptedRepeats.Runs,
   isTargetResponsive: () => true,
+  mayRunNow: () => true,
   acquireKindLimit: () => undefined,
   tryAcquireRetryBudget: () => true,
   onAdmitted: () => false,
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -13,6 +13,7 @@
 import type { CallHooks } from './call-hooks.js';
 import { reportedCongestion } from './gate-congestion.js';
 import type { GateServices } from './inbound-services.js';
+import { mayRunNow } from './long-run-check.js';
 import type { KindRefusal } from './kind-refusal.js';
 import { CallKindLimit } from './call-kind-limit.js';
 import { CallRetryBudget } from './call-retry-budget.js';
@@ -64,6 +65,17 @@
     return this.services.runOutcomes.allowsCall(this.context.kind);
   }
 
+  mayRunNow(): boolean {
+    const { kindPace, targetLoad, clock } = this.services;
+    const { kind, deadlineAt, isReroutable = false } = this.context;
+    return mayRunNow({
+      isReroutable,
+      remainingMs: deadlineAt - clock.now(),
+      pace: kindPace.paceOf(kind),
+      slowedRatio: targetLoad.slowedRatio,
+    });
+  }
+
   acquireKindLimit(): KindRefusal | undefined {
     return this.kindLimit.acquire(this.options.isPresumedNested ?? this.isNested);
   }
--- a/src/gate/gate-policy.ts
+++ b/src/gate/gate-policy.ts
@@ -59,6 +59,7 @@
   const { requestId, kind, service, retries, deadlineMs, waitMs, objectiveMs } = frame;
   const { isRepeat, inheritedShare, answerMarginMs, fingerprint, groupRank, clientWaitedMs } =
     frame;
+  const { isReroutable } = frame;
   const maxWaitMs = isNested ? deadlineMs * NESTED_WAIT_FRACTION : 0;
   return {
     requestId,
@@ -77,6 +78,7 @@
     fingerprint,
     groupRank,
     clientWaitedMs,
+    isReroutable,
   };
 }
 
--- a/src/gate/gate-refusals.ts
+++ b/src/gate/gate-refusals.ts
@@ -38,6 +38,15 @@
   );
 }
 
+/** The target is slowed down, and the caller has another one for a call that may run only once. */
+export function slowedTargetRefusal(): GateRefusal {
+  return retryableRefusal(
+    'unavailable',
+    'not-run',
+    'The target is slowed down and another one can run the call.',
+  );
+}
+
 /** The limit of the call's kind is reached. */
 export function kindLimitRefusal(reached: KindRefusal): GateRefusal {
   return overload(retryableRefusal('overload', 'not-run', kindRefusalDetail(reached)));
--- a/src/gate/gate-transport.ts
+++ b/src/gate/gate-transport.ts
@@ -7,7 +7,13 @@
 import type { TargetConnection } from '../membership/target-connection-pool.js';
 import { RelayHandler, type RelayPolicy } from '../http/relay-handler.js';
 import { readAnnouncement, type TargetAnnouncement } from '../http/target-announcement.js';
-import { detectAnswerFault, isFramed, type TargetHeaders } from '../http/target-headers.js';
+import {
+  detectAnswerFault,
+  headerValue,
+  isFramed,
+  type TargetHeaders,
+} from '../http/target-headers.js';
+import { parseTargetLoad, type TargetLoad } from '../http/target-load.js';
 
 /** Shared by all calls of one sidecar to its target. */
 export interface GateTransportOptions {
@@ -28,6 +34,11 @@
     sentAt: number,
     announcement: TargetAnnouncement,
   ) => void;
+  /**
+   * Called with the load that the target reports in an answer.
+   * @param incarnation name of the incarnation that answered
+   */
+  readonly onLoad: (incarnation: string, load: TargetLoad) => void;
   /** Whether an answer without a declared length may be complete. */
   readonly allowsUnframed: boolean;
 }
@@ -87,10 +98,12 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    const { names, onAnnouncement } = this.options;
+    const { names, onAnnouncement, onLoad } = this.options;
     const fault = detectAnswerFault(names, this.context.requestId, status, headers);
     if (target === undefined || (fault !== undefined && fault !== 'not-executed')) return;
     onAnnouncement(target.incarnation, sentAt, readAnnouncement(names, headers));
+    const load = parseTargetLoad(headerValue(headers, names.load));
+    if (load !== undefined) onLoad(target.incarnation, load);
   }
 
   private headers(instance: string): string[] {
--- a/src/gate/inbound-services.ts
+++ b/src/gate/inbound-services.ts
@@ -10,6 +10,7 @@
 import type { KeyClaims } from '../dedup/claim.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import type { KindPaceTracker } from './kind-pace-tracker.js';
+import type { TargetLoadTracker } from './target-load-tracker.js';
 import type { KindLimitServices } from './call-kind-limit.js';
 import type { Refusal } from '../call/refusal.js';
 import type { RetryBudgetServices } from './call-retry-budget.js';
@@ -50,6 +51,8 @@
   readonly runOutcomes: KindCircuitBreaker;
   /** Durations of calls in the target, by kind. */
   readonly kindPace: KindPaceTracker;
+  /** Load that the target reports. */
+  readonly targetLoad: TargetLoadTracker;
 }
 
 /** How an inbound call ended. */
--- a/src/link/call-fields.ts
+++ b/src/link/call-fields.ts
@@ -35,6 +35,8 @@
   groupRank?: number,
   /** Absent if it is 0 or if the sender's version does not support it. */
   clientWaitedMs?: number,
+  /** Absent if it is false or if the sender's version does not support it. */
+  isReroutable?: boolean,
 ];
 
 /** The strings of a call's head, in wire order. */
@@ -69,7 +71,8 @@
     context.fingerprint,
     context.groupRank,
   ];
-  if (context.clientWaitedMs > 0) fields.push(context.clientWaitedMs);
+  if (context.isReroutable) fields.push(context.clientWaitedMs, true);
+  else if (context.clientWaitedMs > 0) fields.push(context.clientWaitedMs);
   return fields;
 }
 
@@ -92,6 +95,7 @@
     fingerprint = '',
     groupRank = 0,
     clientWaitedMs,
+    isReroutable,
   ] = fields;
   const [requestId, kind, service, method, path, ...headers] = splitStrings(
     texts,
@@ -114,6 +118,7 @@
       fingerprint,
       groupRank,
       clientWaitedMs: typeof clientWaitedMs === 'number' ? clientWaitedMs : 0,
+      isReroutable: isReroutable === true,
     },
     method,
     path,
--- a/src/link/frame-context.ts
+++ b/src/link/frame-context.ts
@@ -12,7 +12,7 @@
  */
 export function createFrameContext(
   context: CallContext,
-  { retries, isRepeat }: AttemptMetadata,
+  { retries, isRepeat, isReroutable = false }: AttemptMetadata,
   now: number,
 ): CallFrameContext {
   const remainingMs = Math.max(0, context.deadlineAt - now);
@@ -31,5 +31,6 @@
     fingerprint: context.fingerprint ?? '',
     groupRank: context.groupRank ?? 0,
     clientWaitedMs: context.clientWaitedMs ?? 0,
+    isReroutable,
   };
 }
--- a/src/link/link-frames.ts
+++ b/src/link/link-frames.ts
@@ -35,6 +35,8 @@
   readonly groupRank: number;
   /** Time that the client spent on its own earlier attempts. 0 if the sender's version does not support it. */
   readonly clientWaitedMs: number;
+  /** Whether the sender can send the call to another target. False if the sender's version does not support it. */
+  readonly isReroutable: boolean;
 }
 
 /** Starts a call. */
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -132,6 +132,11 @@
     return delayMs + usualMs <= this.remainingMs;
   }
 
+  /** Whether a refusal of the next attempt costs the call nothing: it is not its last one, and it needs no retry. */
+  private get mayBeTurnedAway(): boolean {
+    return !this.request.repeatable && this.transport.replayable && this.reroutes === 0;
+  }
+
   /** Milliseconds left until the deadline. */
   private get remainingMs(): number {
     return this.request.deadlineAt - this.dependencies.clock.now();
@@ -149,7 +154,11 @@
     this.attempts.begin(sent, isHedge);
     const transportAttempt = this.transport.send(
       pick.endpoint,
-      { retries: sent.loan.amount, isRepeat: this.feedback.isNextRepeat },
+      {
+        retries: sent.loan.amount,
+        isRepeat: this.feedback.isNextRepeat,
+        isReroutable: pick.hasAlternative && this.mayBeTurnedAway,
+      },
       {
         onHead: (head) => this.onHead(sent, head),
         onEnd: () => this.finish({ type: 'relayed', ...this.feedback.report() }),
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -13,7 +13,7 @@
 /** Creates the gate, which admits calls from other machines to the target. */
 export function createGate(parts: SidecarParts): GateServer {
   const { clock, admission, lease, journal, stopProgress, settings, headers } = parts;
-  const { kindPace, queueLevels, downstream, retryBudget, repeatedRuns, crashGuard, instancePool } = parts;
+  const { kindPace, targetLoad, queueLevels, downstream, retryBudget, repeatedRuns, crashGuard, instancePool } = parts;
   const durations = new CallDurations();
   return new GateServer({
     services: {
@@ -28,6 +28,7 @@
       kindLimiter: new KindLimiter(clock),
       runOutcomes: new KindCircuitBreaker(),
       kindPace,
+      targetLoad,
       retryBudget,
       repeatedRuns,
       crashGuard,
@@ -38,6 +39,9 @@
       target: () => instancePool.getConnection(lease.current),
       onAnnouncement: (incarnation, sentAt, announcement) =>
         parts.announcements.onAnswer(incarnation, sentAt, announcement),
+      onLoad: (incarnation, load) => {
+        if (incarnation === parts.announcements.incarnation) targetLoad.onReport(load);
+      },
       allowsUnframed: settings.unframedAnswers === 'whole',
     },
     stats: parts.inboundStats,
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -17,6 +17,7 @@
 import type { Follower } from '../follower/follower.js';
 import { GATE_SHARING, QUEUE_WAIT_MS, USABLE_SLOT_FRACTION } from '../gate/gate-policy.js';
 import { KindPaceTracker } from '../gate/kind-pace-tracker.js';
+import { TargetLoadTracker } from '../gate/target-load-tracker.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { LinkPool } from '../link/link-pool.js';
 import { TargetAnnouncements } from '../membership/target-announcements.js';
@@ -40,6 +41,7 @@
 } from './follower-setup.js';
 import { createProcessClock } from './clock-logger.js';
 import { processRandom } from './process-random.js';
+import { SlowPhaseLog } from './slow-phase-log.js';
 import { SidecarTarget } from './sidecar-target.js';
 
 export interface SidecarInputs {
@@ -86,6 +88,8 @@
   readonly retryBudget: ServiceRetryBudget;
   /** Durations of calls in the target, by kind. */
   readonly kindPace: KindPaceTracker;
+  /** Load that the target reports. */
+  readonly targetLoad: TargetLoadTracker;
 }
 
 /** Routing of requests and the quota of each group. */
@@ -190,11 +194,17 @@
   rateLimiter: TargetRateLimiter,
   getParts: PartsGetter,
 ): GateParts {
-  const { clock, random, settings } = base;
+  const { clock, random, settings, logger } = base;
+  const slowPhases = new SlowPhaseLog(
+    clock,
+    logger.part('target'),
+    () => getParts().lease.current?.instance,
+  );
   const limiter = new SlotLimiter(USABLE_SLOT_FRACTION);
   return {
     limiter,
     kindPace: new KindPaceTracker(clock),
+    targetLoad: new TargetLoadTracker(clock, (change) => slowPhases.onChange(change)),
     admission: new AdmissionController({
       clock,
       random,
--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -12,6 +12,7 @@
 import { registerRateLimitMetrics } from '../observe/rate-limit-metrics.js';
 import { registerRetryMetrics } from '../observe/retry-metrics.js';
 import { followerReadiness, tableOf } from './follower-setup.js';
+import { registerTargetLoadMetrics } from '../observe/target-load-metrics.js';
 import { createGate } from './sidecar-gate.js';
 import { createIngress } from './sidecar-ingress.js';
 import type { SidecarParts } from './sidecar-parts.js';
@@ -72,10 +73,12 @@
     retryBudget,
     crashGuard,
     announcements,
+    targetLoad,
   } = parts;
   const registry = createNodeMetrics(inboundStats, outboundStats, admission, follower);
   registerRetryMetrics(registry, retryBudget);
   registerRateLimitMetrics(registry, () => announcements.rateLimitPerSecond);
+  registerTargetLoadMetrics(registry, () => targetLoad.current);
   registerQuarantineMetrics(registry, {
     crashes: () => crashGuard.crashes,
     quarantines: () => tableOf(follower).quarantineCount,
--- a/src/programs/sidecar-target.ts
+++ b/src/programs/sidecar-target.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '../common/logger.js';
 import type { Follower } from '../follower/follower.js';
 import type { KindPaceTracker } from '../gate/kind-pace-tracker.js';
+import type { TargetLoadTracker } from '../gate/target-load-tracker.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { incarnationName, isSameIncarnation, type Incarnation } from '../membership/incarnation.js';
 import type { TargetAnnouncements } from '../membership/target-announcements.js';
@@ -33,6 +34,7 @@
   readonly crashGuard: CrashGuard;
   readonly retryBudget: ServiceRetryBudget;
   readonly kindPace: KindPaceTracker;
+  readonly targetLoad: TargetLoadTracker;
   readonly stopProgress: StopProgress;
 }
 
@@ -124,7 +126,9 @@
     const { logger } = this;
     const left = this.announcedTarget && incarnationName(this.announcedTarget);
     this.incarnation += 1;
-    this.getParts().kindPace.reset();
+    const { kindPace, targetLoad } = this.getParts();
+    kindPace.reset();
+    targetLoad.reset();
     this.onServiceChanged(current?.service ?? '');
     if (current === undefined) logger.info('There is no target now.', { left });
     else logger.info('Using a new target.', { ...current, left });
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -10,9 +10,8 @@
 import { EndpointView } from './endpoint-view.js';
 import { selectByDuration } from './expected-duration.js';
 import { LatencyBaseline } from './latency-baseline.js';
-import { LongRunRatios } from './long-run-ratios.js';
 import { chooseSubset, SUBSET_SIZE } from './subset.js';
-import { chooseTarget, type CostContext } from './target-choice.js';
+import { chooseTarget, isPreferable, type CostContext } from './target-choice.js';
 
 /** Smoothing factor of the mean of the reported limits, an exponential moving average over about five reports. */
 const LIMIT_WEIGHT = 0.2;
@@ -40,6 +39,8 @@
   readonly endpoint: EndpointRecord;
   /** Whether the gate accepts repeated calls according to its last report; true without a report. */
   readonly acceptsRepeats: boolean;
+  /** Whether another endpoint with room can take a call that must fit its time ({@link PickRequest.mustFitMs}). */
+  readonly hasAlternative: boolean;
   /**
    * Must be called once, when the attempt is over.
    * @param outcome what the node reported; the latency of a refusal says nothing about the target
@@ -76,7 +77,6 @@
   /** Larger than usual after all endpoints of the usual subset were at their rate limits. */
   private subsetSize = SUBSET_SIZE;
   private readonly baseline = new LatencyBaseline();
-  private readonly longRuns = new LongRunRatios();
   private readonly leavingUntil = new Map<string, number>();
   private hasSeenEndpoints = false;
   /** Exponential moving average of the limits that nodes reported, in calls. */
@@ -119,6 +119,9 @@
     return {
       endpoint: view.record,
       acceptsRepeats: view.acceptsRepeats,
+      hasAlternative:
+        request.mustFitMs !== undefined &&
+        usable.some((other) => other !== view && isPreferable(other, context)),
       end: (result, outcome) =>
         this.onEnd(view, { trafficClass, priority, startedAt: now, result, outcome }),
     };
@@ -141,9 +144,8 @@
     { trafficClass, mustFitMs }: PickRequest,
     context: CostContext,
   ): readonly EndpointView[] {
-    const longRunRatio = this.longRuns.ratioOf(trafficClass);
-    if (mustFitMs === undefined || longRunRatio === undefined) return candidates;
-    const call = { trafficClass, remainingMs: mustFitMs, longRunRatio };
+    if (mustFitMs === undefined) return candidates;
+    const call = { trafficClass, remainingMs: mustFitMs };
     return selectByDuration(candidates, call, { context, random: this.options.random });
   }
 
@@ -172,9 +174,6 @@
     if (outcome?.returnInMs !== undefined) view.pause(priority, now + outcome.returnInMs);
     if (outcome?.load !== undefined) {
       view.onLoad(outcome.load, trafficClass, now);
-      if (outcome.load.kindPace !== undefined) {
-        this.longRuns.record(trafficClass, outcome.load.kindPace);
-      }
       this.meanLimit += LIMIT_WEIGHT * (outcome.load.limit - this.meanLimit);
     }
     const isTargetsAnswer = result === 'answered' && outcome?.refusal === undefined;
--- a/src/routing/expected-duration.ts
+++ b/src/routing/expected-duration.ts
@@ -4,7 +4,9 @@
  * slow target these exceed the timeout of the route, at a fast one they fit. Does nothing unless a target is known to be too
  * slow for the call. Asked for each attempt, before the choice among the candidates (target-choice.ts).
  *
- * - A call fits a target if a long run there takes no longer than the time that the call has left.
+ * - A call fits a target if a long run there takes no longer than the time that the call has left. The duration of a long run
+ *   is the usual one at the target times a ratio that is the same for all targets: the longest run of a single target varies
+ *   by large factors, and at slow targets it is cut off by the deadline.
  * - Where it fits nowhere, the targets that are expected to finish soonest are used.
  * - The fuller a target is, the less likely it is used, so that callers with the same knowledge don't fill the fastest one.
  * - Targets of unknown pace get a few calls, by which callers learn their pace.
@@ -25,6 +27,12 @@
 /** Fraction of the choices in which a target of unknown pace is a candidate beside those where the call fits. */
 const EXPLORATION_FRACTION = 0.2;
 
+/** Shorter durations count as this many milliseconds, so that ratios of them are meaningful. */
+const MIN_DURATION_MS = 1;
+
+/** Quantile, over the targets, of the ratio of long to usual durations: not raised by a few targets in trouble. */
+const LONG_RUN_QUANTILE = 0.75;
+
 /** A candidate that may know how long calls take there. */
 export interface PacedCandidate extends Candidate {
   /** Durations that the gate reported for a traffic class; undefined if they are unknown or outdated. */
@@ -36,8 +44,6 @@
   readonly trafficClass: string;
   /** Time left until the deadline, in milliseconds. */
   readonly remainingMs: number;
-  /** Typical ratio of long to usual durations of the class over all targets. */
-  readonly longRunRatio: number;
 }
 
 export interface DurationOptions {
@@ -45,6 +51,7 @@
   readonly random: RandomSource;
 }
 
+/** A target and the expected durations of the call there. */
 interface Estimate<T> {
   readonly candidate: T;
   /** Expected duration of a usual run, in milliseconds; undefined if it is unknown. */
@@ -56,37 +63,48 @@
 /** Returns the candidates to choose from: all of them if the call fits everywhere, or if no better one has room. */
 export function selectByDuration<T extends PacedCandidate>(
   candidates: readonly T[],
-  call: TimedCall,
+  { trafficClass, remainingMs }: TimedCall,
   { context, random }: DurationOptions,
 ): readonly T[] {
-  const estimates = estimateDurations(candidates, call.trafficClass, context.now);
-  const fits = (usualMs: number): boolean => usualMs * call.longRunRatio <= call.remainingMs;
-  const known = estimates.filter(isKnown);
-  if (known.every(({ usualMs }) => fits(usualMs))) return candidates;
-  const withRoom = estimates.filter((estimate) => drawRoom(estimate.candidate, context, random));
-  const fitting = withRoom.filter(isKnown).filter(({ usualMs }) => fits(usualMs));
-  const chosen =
+  const paces = candidates.map((candidate) => candidate.pace(trafficClass, context.now));
+  const knownPaces = paces.filter((pace) => pace !== undefined);
+  if (knownPaces.length === 0) return candidates;
+  const meanMs = meanUsualMs(knownPaces);
+  const estimates = candidates.map((candidate, index) =>
+    estimateDuration(candidate, paces[index], { meanMs, now: context.now }),
+  );
+  const longestFitMs = remainingMs / typicalLongRunRatio(knownPaces);
+  const fits = ({ usualMs }: KnownEstimate<T>): boolean => usualMs <= longestFitMs;
+  if (estimates.filter(isKnown).every(fits)) return candidates;
+  const withRoom = estimates.filter(({ candidate }) => drawRoom(candidate, context, random));
+  const fitting = withRoom.filter(isKnown).filter(fits);
+  const selected =
     fitting.length > 0
       ? [...fitting, ...selectExplored(withRoom, random)]
-      : selectSoonest(withRoom, meanUsualMs(known));
-  return chosen.length === 0 ? candidates : chosen.map(({ candidate }) => candidate);
+      : selectSoonest(withRoom, meanMs);
+  return selected.length === 0 ? candidates : selected.map(({ candidate }) => candidate);
 }
 
-function estimateDurations<T extends PacedCandidate>(
-  candidates: readonly T[],
-  trafficClass: string,
-  now: number,
-): Estimate<T>[] {
-  const paces = candidates.map((candidate) => candidate.pace(trafficClass, now)?.usualMs);
-  const known = paces.filter((usualMs) => usualMs !== undefined);
-  const meanMs = known.reduce((total, usualMs) => total + usualMs, 0) / known.length;
-  return candidates.map((candidate, index) => {
-    const usualMs = paces[index];
-    if (usualMs === undefined) return { candidate, usualMs };
-    // The latency ratio contains the pace of the target; what exceeds it is a present trouble.
-    const excess = candidate.latencyRatio(now) / Math.max(1, usualMs / meanMs);
-    return { candidate, usualMs: usualMs * Math.max(1, excess) };
-  });
+function meanUsualMs(paces: readonly KindPace[]): number {
+  return paces.reduce((total, { usualMs }) => total + usualMs, 0) / paces.length;
+}
+
+function typicalLongRunRatio(paces: readonly KindPace[]): number {
+  const ratios = paces.map(({ usualMs, longMs }) => longMs / Math.max(MIN_DURATION_MS, usualMs));
+  ratios.sort((a, b) => a - b);
+  return Math.max(1, ratios[Math.floor(LONG_RUN_QUANTILE * (ratios.length - 1))]!);
+}
+
+/** @param meanMs mean of the usual durations at the targets where it is known, in milliseconds */
+function estimateDuration<T extends PacedCandidate>(
+  candidate: T,
+  pace: KindPace | undefined,
+  { meanMs, now }: { readonly meanMs: number; readonly now: number },
+): Estimate<T> {
+  if (pace === undefined) return { candidate, usualMs: undefined };
+  // The latency ratio contains the pace of the target; what exceeds it is a present trouble.
+  const excess = candidate.latencyRatio(now) / Math.max(1, pace.usualMs / meanMs);
+  return { candidate, usualMs: pace.usualMs * Math.max(1, excess) };
 }
 
 /** Whether a target may be preferred; less likely the fuller it is. Draws a random number only in between. */
@@ -110,10 +128,6 @@
   return estimates.filter((_, index) => durations[index]! <= bound);
 }
 
-function meanUsualMs(known: readonly KnownEstimate<unknown>[]): number {
-  return known.reduce((total, { usualMs }) => total + usualMs, 0) / known.length;
-}
-
 function isKnown<T>(estimate: Estimate<T>): estimate is KnownEstimate<T> {
   return estimate.usualMs !== undefined;
 }
--- a/src/routing/target-choice.ts
+++ b/src/routing/target-choice.ts
@@ -75,6 +75,11 @@
   return isWorthCrossing ? best : bestLocal;
 }
 
+/** Whether an endpoint has room and is not ejected. */
+export function isPreferable(candidate: Candidate, context: CostContext): boolean {
+  return hasRoom(candidate, context) && !candidate.isEjected(context.now);
+}
+
 function selectUsable<T extends Candidate>(candidates: readonly T[], now: number): T[] {
   const usable: T[] = [];
   const ejected: T[] = [];
--- a/test/gate/gate-announcements.test.ts
+++ b/test/gate/gate-announcements.test.ts
@@ -7,6 +7,7 @@
 import { GateTransport } from '../../src/gate/gate-transport.js';
 import { ResponseTimeAverage } from '../../src/http/response-time-average.js';
 import type { TargetAnnouncement } from '../../src/http/target-announcement.js';
+import type { TargetLoad } from '../../src/http/target-load.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
 import { IncomingLinkCall } from '../../src/link/incoming-link-call.js';
 
@@ -23,15 +24,29 @@
   retries: 0,
 };
 
-/** Sends a call to a target that answers with this head. @returns what the gate learns from it */
+/** What a gate learns from one answer. */
+interface Learned {
+  readonly announcements: [incarnation: string, sentAt: number, announcement: TargetAnnouncement][];
+  readonly loads: [incarnation: string, load: TargetLoad][];
+}
+
 function announcedBy(
   status: number,
   headers: IncomingHttpHeaders,
   decision: HeadDecision = 'discard',
-): [incarnation: string, sentAt: number, announcement: TargetAnnouncement][] {
+): Learned['announcements'] {
+  return learnedFrom(status, headers, decision).announcements;
+}
+
+/** Sends a call to a target that answers with this head. @returns what the gate learns from it */
+function learnedFrom(
+  status: number,
+  headers: IncomingHttpHeaders,
+  decision: HeadDecision = 'discard',
+): Learned {
   const clock = new VirtualClock();
   clock.advance(SENT_AT);
-  const learned: [string, number, TargetAnnouncement][] = [];
+  const learned: Learned = { announcements: [], loads: [] };
   const controller = { rawHeaders: null } as unknown as Dispatcher.DispatchController;
   const dispatch = (_options: unknown, handler: Dispatcher.DispatchHandler): boolean => {
     handler.onRequestStart?.(controller, undefined);
@@ -51,7 +66,8 @@
         responseTimes: new ResponseTimeAverage(),
         onUnanswered: () => undefined,
       }),
-      onAnnouncement: (...each) => learned.push(each),
+      onAnnouncement: (...each) => learned.announcements.push(each),
+      onLoad: (...each) => learned.loads.push(each),
       allowsUnframed: false,
     },
     CONTEXT,
@@ -87,6 +103,13 @@
     });
   }
 
+  it('is the load that the target reports', () => {
+    const { loads } = learnedFrom(200, { ...own, [DEFAULT_TARGET_HEADERS.load]: '5,2,40,160' });
+    const load = { running: 5, waiting: 2, slots: 40, slowdown: 1.6 };
+    expect(loads).to.deep.equal([['i-1@7', load]]);
+    expect(learnedFrom(200, own).loads).to.deep.equal([]);
+  });
+
   it('is in a rejection', () => {
     const rejection = { ...LIMITED, [notExecuted]: '1', [leaving]: '1' };
     const announcement = { ...ANNOUNCEMENT, isLeaving: true };
--- a/test/golden/edge-and-node.test.ts
+++ b/test/golden/edge-and-node.test.ts
@@ -68,6 +68,7 @@
   fingerprint: '0123456789abcdef0123-01234567',
   groupRank: 1,
   clientWaitedMs: 0,
+  isReroutable: false,
 };
 
 const BASE_CONTEXT: CallContext = {
--- a/test/golden/link-frames.test.ts
+++ b/test/golden/link-frames.test.ts
@@ -41,6 +41,7 @@
   fingerprint: '0123456789abcdef0123-01234567',
   groupRank: 4,
   clientWaitedMs: 0,
+  isReroutable: false,
 };
 
 const EMPTY_CONTEXT: Required<CallFrameContext> = {
@@ -58,6 +59,7 @@
   fingerprint: '',
   groupRank: 0,
   clientWaitedMs: 0,
+  isReroutable: false,
 };
 
 const FULL_CALL: Required<CallFrame> = {
@@ -124,6 +126,10 @@
       name: 'call of a client that has waited before',
       frame: { ...FULL_CALL, context: { ...FULL_CONTEXT, clientWaitedMs: 640 } },
     },
+    {
+      name: 'call that another target can run',
+      frame: { ...FULL_CALL, context: { ...FULL_CONTEXT, isReroutable: true } },
+    },
     {
       name: 'call, inherited share between two hundredths',
       frame: { ...FULL_CALL, context: { ...FULL_CONTEXT, inheritedShare: 0.3749 } },
@@ -286,6 +292,7 @@
       fingerprint: '',
       groupRank: 0,
       clientWaitedMs: 0,
+      isReroutable: false,
     },
     method: 'GET',
     path: '/x',
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -37,6 +37,7 @@
     fingerprint: '',
     groupRank: 0,
     clientWaitedMs: 0,
+    isReroutable: false,
   },
   method: 'POST',
   path: '/x',
@@ -170,6 +171,7 @@
       fingerprint: fc.string({ maxLength: 20 }).map((text) => text.replaceAll('\n', '')),
       groupRank: fc.nat({ max: 20 }),
       clientWaitedMs: fc.nat({ max: 10_000 }),
+      isReroutable: fc.boolean(),
     });
     const call = { id: fc.nat(), context, method: text, path: text, headers: head.headers };
     const frames = fc.oneof(
--- a/test/link/silent-link.test.ts
+++ b/test/link/silent-link.test.ts
@@ -35,6 +35,7 @@
     fingerprint: '',
     groupRank: 0,
     clientWaitedMs: 0,
+    isReroutable: false,
   },
   method: 'GET',
   path: '/',
--- a/test/support/slot-gate.ts
+++ b/test/support/slot-gate.ts
@@ -10,6 +10,7 @@
 import { SeededRandom } from '../../src/common/random.js';
 import type { VirtualClock } from '../../src/common/virtual-clock.js';
 import { NO_CLAIMS } from '../../src/dedup/no-claims.js';
+import { TargetLoadTracker } from '../../src/gate/target-load-tracker.js';
 import { KindPaceTracker } from '../../src/gate/kind-pace-tracker.js';
 import type { GateServices } from '../../src/gate/inbound-services.js';
 import { IMPORTANCE_COUNT } from '../../src/policy/importance.js';
@@ -48,6 +49,7 @@
     kindLimiter: new KindLimiter(clock),
     runOutcomes: new KindCircuitBreaker(),
     kindPace: new KindPaceTracker(clock),
+    targetLoad: new TargetLoadTracker(clock, () => undefined),
     retryBudget: new ServiceRetryBudget({ clock, ...DEFAULT_RETRY_BOUND, gates: () => 1 }),
     repeatedRuns: new RepeatedRuns(),
     queueLevels: Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock)),
