Routing: gates tell the share of runs that go unserved; callers and gates keep calls away from such targets

Cause: a target that loses two fifths of its answers, or fails part of its runs, is seen by each of many callers as a call now and then; three failures in a row, which eject it, hardly occur. Ruled out: ejecting on a ratio learned by each caller (a call in 0.7 s for eight endpoints).

--- a/lab/simulator/sidecars/sim-gate-services.ts
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -13,6 +13,7 @@
 import type { RandomSource } from '../../../src/common/random.js';
 import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
 import { GATE_SHARING, QUEUE_WAIT_MS } from '../../../src/gate/gate-policy.js';
+import { TargetLoadTracker } from '../../../src/gate/target-load-tracker.js';
 import { KindPaceTracker } from '../../../src/gate/kind-pace-tracker.js';
 import { UnservedRuns } from '../../../src/gate/unserved-runs.js';
 import type { GateServices } from '../../../src/gate/inbound-services.js';
@@ -53,6 +54,7 @@
     runOutcomes: new KindCircuitBreaker(),
     kindPace: new KindPaceTracker(clock),
     unservedRuns: new UnservedRuns(clock),
+    targetLoad: new TargetLoadTracker(clock, () => undefined),
     retryBudget,
     repeatedRuns,
     onMisdirected: () => undefined,
--- a/src/gate/inbound-services.ts
+++ b/src/gate/inbound-services.ts
@@ -11,6 +11,7 @@
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import type { KindPaceTracker } from './kind-pace-tracker.js';
 import type { UnservedRuns } from './unserved-runs.js';
+import type { TargetLoadTracker } from './target-load-tracker.js';
 import type { KindLimitServices } from './call-kind-limit.js';
 import type { Refusal } from '../call/refusal.js';
 import type { RetryBudgetServices } from './call-retry-budget.js';
@@ -53,6 +54,8 @@
   readonly kindPace: KindPaceTracker;
   /** Tracks the runs of the target that end without a usable answer. */
   readonly unservedRuns: UnservedRuns;
+  /** Load that the target reports. */
+  readonly targetLoad: TargetLoadTracker;
 }
 
 /** How an inbound call ended. */
--- a/src/gate/unserved-runs.ts
+++ b/src/gate/unserved-runs.ts
@@ -6,14 +6,14 @@
  */
 import type { Clock } from '../common/clock.js';
 
-/** Smoothing factor of the share, an exponential moving average over about twenty runs. */
-const SMOOTHING_FACTOR = 0.05;
+/** Smoothing factor of the share, an exponential moving average over about ten runs. */
+const SMOOTHING_FACTOR = 0.1;
 
-/** Time constant with which the share decays while there are few runs, in milliseconds, so that callers try again. */
-const DECAY_MS = 3_000;
+/** Time constant with which the share decays without runs, in milliseconds, so that the target is tried again. */
+const DECAY_MS = 10_000;
 
-/** Share below which nothing is reported: single failures are usual. */
-const MIN_REPORTED_SHARE = 0.05;
+/** Share below which nothing is reported: that of a single unserved run after a served one. */
+const MIN_REPORTED_SHARE = 0.1;
 
 export class UnservedRuns {
   private share = 0;
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -7,6 +7,7 @@
 import {
   decideHedge,
   decideNextStep,
+  MAX_REROUTES,
   type FailedAttempt,
   type RetryLimitState,
 } from '../retry/retry-policy.js';
@@ -133,6 +134,11 @@
     return delayMs + usualMs <= this.remainingMs;
   }
 
+  /** Whether a refusal of the next attempt costs the call nothing: it is not its last one, and it needs no retry. */
+  private get mayBeTurnedAway(): boolean {
+    return !this.request.repeatable && this.transport.replayable && this.reroutes < MAX_REROUTES;
+  }
+
   /** Milliseconds left until the deadline. */
   private get remainingMs(): number {
     return this.request.deadlineAt - this.dependencies.clock.now();
@@ -150,7 +156,11 @@
     this.attempts.begin(sent, isHedge);
     const transportAttempt = this.transport.send(
       pick.endpoint,
-      { retries: sent.loan.amount, isRepeat: this.feedback.isNextRepeat },
+      {
+        retries: sent.loan.amount,
+        isRepeat: this.feedback.isNextRepeat,
+        isReroutable: pick.hasAlternative && this.mayBeTurnedAway,
+      },
       {
         onHead: (head) => this.onHead(sent, head),
         onEnd: () => this.finish({ type: 'relayed', ...this.feedback.report() }),
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -16,6 +16,7 @@
   const {
     kindPace,
     unservedRuns,
+    targetLoad,
     queueLevels,
     downstream,
     retryBudget,
@@ -38,6 +39,7 @@
       runOutcomes: new KindCircuitBreaker(),
       kindPace,
       unservedRuns,
+      targetLoad,
       retryBudget,
       repeatedRuns,
       crashGuard,
@@ -48,6 +50,9 @@
       target: () => instancePool.getConnection(lease.current),
       onAnnouncement: (incarnation, sentAt, announcement) =>
         parts.announcements.onAnswer(incarnation, sentAt, announcement),
+      onLoad: (incarnation, load) => {
+        if (incarnation === parts.announcements.incarnation) targetLoad.onReport(load);
+      },
       allowsUnframed: settings.unframedAnswers === 'whole',
     },
     stats: parts.inboundStats,
--- a/src/programs/sidecar-target.ts
+++ b/src/programs/sidecar-target.ts
@@ -8,6 +8,7 @@
 import type { Follower } from '../follower/follower.js';
 import type { KindPaceTracker } from '../gate/kind-pace-tracker.js';
 import type { UnservedRuns } from '../gate/unserved-runs.js';
+import type { TargetLoadTracker } from '../gate/target-load-tracker.js';
 import type { TargetHeaders } from '../http/target-headers.js';
 import { incarnationName, isSameIncarnation, type Incarnation } from '../membership/incarnation.js';
 import type { TargetAnnouncements } from '../membership/target-announcements.js';
@@ -35,6 +36,7 @@
   readonly retryBudget: ServiceRetryBudget;
   readonly kindPace: KindPaceTracker;
   readonly unservedRuns: UnservedRuns;
+  readonly targetLoad: TargetLoadTracker;
   readonly stopProgress: StopProgress;
 }
 
@@ -126,9 +128,10 @@
     const { logger } = this;
     const left = this.announcedTarget && incarnationName(this.announcedTarget);
     this.incarnation += 1;
-    const { kindPace, unservedRuns } = this.getParts();
+    const { kindPace, unservedRuns, targetLoad } = this.getParts();
     kindPace.reset();
     unservedRuns.reset();
+    targetLoad.reset();
     this.onServiceChanged(current?.service ?? '');
     if (current === undefined) logger.info('There is no target now.', { left });
     else logger.info('Using a new target.', { ...current, left });
