--- /dev/null
+++ b/lab/simulator/sidecars/quote-graph.ts
@@ -0,0 +1,103 @@
+/**
+ * A quote deployment of 89 machines in three zones whose deepest service has the least room: each view of a sheet, the least
+ * urgent kind, leads to four calls there in series, and each acceptance of a quote, the most urgent one, to as many.
+ */
+import { simRoute, type CallGraph } from './call-graph.js';
+
+const NO_CALLS = [] as const;
+
+export const QUOTE_GRAPH: CallGraph = {
+  zones: 3,
+  services: [
+    { name: 'tariff', targets: 42, slots: 35, workFactors: [0.6, 1, 1.6] },
+    { name: 'acceptance', targets: 25, slots: 59, workFactors: [0.7, 0.7, 1.6] },
+    { name: 'deposit', targets: 14, slots: 104, workFactors: [0.6, 1, 1.4] },
+    { name: 'quoter', targets: 8, slots: 41, workFactors: [0.5, 1, 1, 1.5] },
+  ],
+  routes: [
+    simRoute({
+      name: 'sheet-view',
+      service: 'tariff',
+      rank: 2,
+      repeatable: true,
+      objectiveMs: 1_500,
+      timeoutMs: 1_000,
+      deadlineMs: 5_000,
+      workMs: 140,
+      perSecond: 732,
+      nested: [{ route: 'residual', times: 1 }],
+    }),
+    simRoute({
+      name: 'quote-accept',
+      service: 'acceptance',
+      rank: 0,
+      repeatable: false,
+      objectiveMs: 1_500,
+      timeoutMs: 1_200,
+      deadlineMs: 5_000,
+      workMs: 180,
+      perSecond: 234,
+      nested: [{ route: 'credit', times: 1 }],
+    }),
+    simRoute({
+      name: 'deposit-hold',
+      service: 'deposit',
+      rank: 0,
+      repeatable: false,
+      objectiveMs: 400,
+      timeoutMs: 800,
+      deadlineMs: 1_500,
+      workMs: 94,
+      perSecond: 249,
+      nested: NO_CALLS,
+    }),
+    simRoute({
+      name: 'quote-lookup',
+      service: 'quoter',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 250,
+      timeoutMs: 500,
+      deadlineMs: 1_000,
+      workMs: 54,
+      perSecond: 263,
+      nested: NO_CALLS,
+    }),
+    simRoute({
+      name: 'residual',
+      service: 'acceptance',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 1_200,
+      timeoutMs: 2_500,
+      deadlineMs: 2_500,
+      workMs: 15,
+      perSecond: 0,
+      nested: [{ route: 'credit', times: 1 }],
+    }),
+    simRoute({
+      name: 'credit',
+      service: 'deposit',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 1_200,
+      timeoutMs: 2_000,
+      deadlineMs: 2_000,
+      workMs: 15,
+      perSecond: 0,
+      nested: [{ route: 'tax', times: 4 }],
+    }),
+    simRoute({
+      name: 'tax',
+      service: 'quoter',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 300,
+      timeoutMs: 700,
+      deadlineMs: 700,
+      workMs: 40,
+      perSecond: 0,
+      nested: NO_CALLS,
+    }),
+  ],
+};
--- /dev/null
+++ b/lab/simulator/sidecars/ticket-graph.ts
@@ -0,0 +1,103 @@
+/**
+ * A ticket deployment of 87 machines in three zones whose deepest service has five targets: it serves the most urgent kind
+ * itself, and the fares that trips and bookings ask for, four a trip and eight a booking.
+ */
+import { simRoute, type CallGraph } from './call-graph.js';
+
+const NO_CALLS = [] as const;
+
+export const TICKET_GRAPH: CallGraph = {
+  zones: 3,
+  services: [
+    { name: 'planner', targets: 41, slots: 45, workFactors: [0.7, 0.7, 1.6] },
+    { name: 'booking', targets: 30, slots: 62, workFactors: [0.7, 0.7, 1.6] },
+    { name: 'timetable', targets: 11, slots: 168, workFactors: [0.7, 0.7, 1.6] },
+    { name: 'ticketing', targets: 5, slots: 85, workFactors: [0.7, 0.7, 1.6] },
+  ],
+  routes: [
+    simRoute({
+      name: 'trip',
+      service: 'planner',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 1_500,
+      timeoutMs: 1_200,
+      deadlineMs: 5_000,
+      workMs: 170,
+      perSecond: 980,
+      nested: [{ route: 'seat-avail', times: 1 }],
+    }),
+    simRoute({
+      name: 'book',
+      service: 'booking',
+      rank: 2,
+      repeatable: false,
+      objectiveMs: 3_000,
+      timeoutMs: 1_500,
+      deadlineMs: 6_000,
+      workMs: 220,
+      perSecond: 406,
+      nested: [{ route: 'feed', times: 2 }],
+    }),
+    simRoute({
+      name: 'upload',
+      service: 'timetable',
+      rank: 1,
+      repeatable: false,
+      objectiveMs: 800,
+      timeoutMs: 1_200,
+      deadlineMs: 3_000,
+      workMs: 200,
+      perSecond: 151,
+      nested: NO_CALLS,
+    }),
+    simRoute({
+      name: 'ticket',
+      service: 'ticketing',
+      rank: 0,
+      repeatable: false,
+      objectiveMs: 500,
+      timeoutMs: 1_000,
+      deadlineMs: 2_000,
+      workMs: 130,
+      perSecond: 143,
+      nested: NO_CALLS,
+    }),
+    simRoute({
+      name: 'seat-avail',
+      service: 'booking',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 1_200,
+      timeoutMs: 2_500,
+      deadlineMs: 2_500,
+      workMs: 15,
+      perSecond: 0,
+      nested: [{ route: 'feed', times: 1 }],
+    }),
+    simRoute({
+      name: 'feed',
+      service: 'timetable',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 1_200,
+      timeoutMs: 2_000,
+      deadlineMs: 2_000,
+      workMs: 15,
+      perSecond: 0,
+      nested: [{ route: 'fare', times: 4 }],
+    }),
+    simRoute({
+      name: 'fare',
+      service: 'ticketing',
+      rank: 1,
+      repeatable: true,
+      objectiveMs: 300,
+      timeoutMs: 700,
+      deadlineMs: 700,
+      workMs: 42,
+      perSecond: 0,
+      nested: NO_CALLS,
+    }),
+  ],
+};
