--- a/lab/simulator/sidecars/call-graph.ts
+++ b/lab/simulator/sidecars/call-graph.ts
@@ -35,12 +35,22 @@
   readonly clientRetries: number;
 }
 
+/** A fraction of the calls, 0 to 1, that take a multiple of their usual work time. */
+export interface WorkTail {
+  readonly part: number;
+  readonly factor: number;
+}
+
 export interface CallGraph {
   /**
    * Number of zones, each with a contiguous block of the targets of every service. By default, the targets
    * are assigned to three zones in rotation.
    */
   readonly zones?: number;
+  /** Fraction of the client requests that arrive in each zone, in order; requires `zones`. Default: by number of machines. */
+  readonly zoneDemand?: readonly number[];
+  /** Calls that take much longer than others of their route. Default: none. */
+  readonly workTail?: WorkTail;
   readonly services: readonly SimService[];
   readonly routes: readonly SimRoute[];
 }
--- a/lab/simulator/sidecars/quote-graph.ts
+++ b/lab/simulator/sidecars/quote-graph.ts
@@ -8,6 +8,8 @@
 
 export const QUOTE_GRAPH: CallGraph = {
   zones: 3,
+  zoneDemand: [0.25, 0.25, 0.5],
+  workTail: { part: 0.03, factor: 7 },
   services: [
     { name: 'tariff', targets: 42, slots: 35, workFactors: [0.6, 1, 1.6] },
     { name: 'acceptance', targets: 25, slots: 59, workFactors: [0.7, 0.7, 1.6] },
--- a/lab/simulator/sidecars/sidecar-world.ts
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -5,7 +5,7 @@
 import { sampleExponential, SeededRandom } from '../../../src/common/random.js';
 import { VirtualClock } from '../../../src/common/virtual-clock.js';
 import { ArrivalLedger } from './arrival-ledger.js';
-import type { CallGraph, SimRoute } from './call-graph.js';
+import type { CallGraph, SimRoute, WorkTail } from './call-graph.js';
 import { ClientRequest, type RequestEnd } from './client-request.js';
 import { RequestLineage } from './request-lineage.js';
 import { SlotAccount } from './slot-account.js';
@@ -21,6 +21,12 @@
   readonly faults?: Readonly<Record<string, TargetFaults>>;
 }
 
+/** What the sidecars of a run do besides the default. */
+export interface SidecarWorldOptions {
+  /** Whether ingresses refuse requests that have no room at a service below. Default false. */
+  readonly firstHopRoom?: boolean;
+}
+
 /** Results of the client requests of one route. */
 export interface RouteResult {
   sent: number;
@@ -30,6 +36,8 @@
   late: number;
   refused: number;
   failed: number;
+  /** Answers of 503, those that a client retried included. */
+  notRunAnswers: number;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -46,6 +54,7 @@
   readonly random: SeededRandom;
   private readonly sidecars = new Map<string, SimSidecar>();
   private readonly allSidecars: SimSidecar[] = [];
+  private readonly sidecarsByZone = new Map<string, SimSidecar[]>();
   private readonly routes: Map<string, SimRoute>;
   private results = new Map<string, RouteResult>();
   private demandFactor = 1;
@@ -58,7 +67,11 @@
   /** What the slots of all targets were held for. */
   readonly slots = new SlotAccount();
 
-  constructor(graph: CallGraph, seed: number) {
+  constructor(
+    private readonly graph: CallGraph,
+    seed: number,
+    private readonly options: SidecarWorldOptions = {},
+  ) {
     this.random = new SeededRandom(seed);
     this.routes = new Map(graph.routes.map((each) => [each.route.name, each]));
     for (const service of graph.services) {
@@ -72,6 +85,14 @@
     for (const sidecar of this.allSidecars) sidecar.update(records);
   }
 
+  get firstHopRoom(): boolean {
+    return this.options.firstHopRoom === true;
+  }
+
+  get workTail(): WorkTail | undefined {
+    return this.graph.workTail;
+  }
+
   route(name: string): SimRoute {
     return this.routes.get(name)!;
   }
@@ -123,6 +144,8 @@
   private add(sidecar: SimSidecar): void {
     this.sidecars.set(sidecar.record.id, sidecar);
     this.allSidecars.push(sidecar);
+    const { zone } = sidecar.record;
+    this.sidecarsByZone.set(zone, [...(this.sidecarsByZone.get(zone) ?? []), sidecar]);
   }
 
   private scheduleNext(route: SimRoute): void {
@@ -148,7 +171,7 @@
     retries: number,
   ): void {
     const leftMs = request.sentAt + route.deadlineMs - this.clock.now();
-    const ingress = this.allSidecars[this.random.nextInt(this.allSidecars.length)]!;
+    const ingress = this.chooseIngress();
     request.attempts += 1;
     const lineage = new RequestLineage(false, request, request.attempts);
     ingress.ingress(route, leftMs, lineage, (answer) =>
@@ -156,6 +179,20 @@
     );
   }
 
+  private chooseIngress(): SimSidecar {
+    const sidecars = this.sidecarsOfZone() ?? this.allSidecars;
+    return sidecars[this.random.nextInt(sidecars.length)]!;
+  }
+
+  /** Sidecars of a zone drawn by its part of the demand; undefined if the demand is the same everywhere. */
+  private sidecarsOfZone(): readonly SimSidecar[] | undefined {
+    const { zoneDemand } = this.graph;
+    if (zoneDemand === undefined) return undefined;
+    let rest = this.random.next();
+    const zone = zoneDemand.findIndex((part) => (rest -= part) < 0);
+    return this.sidecarsByZone.get(`zone-${Math.max(0, zone)}`);
+  }
+
   private onAnswer(
     route: SimRoute,
     result: RouteResult,
@@ -163,6 +200,7 @@
     retries: number,
     answer: SimAnswer,
   ): void {
+    if (answer.status === STATUS_NOT_RUN) result.notRunAnswers += 1;
     const tookMs = this.clock.now() - request.sentAt;
     const leftMs = route.deadlineMs - tookMs;
     const { status, retryAfterSeconds } = answer;
@@ -179,7 +217,7 @@
   private resultOf(name: string): RouteResult {
     let result = this.results.get(name);
     if (result === undefined) {
-      result = { sent: 0, inTime: 0, late: 0, refused: 0, failed: 0 };
+      result = { sent: 0, inTime: 0, late: 0, refused: 0, failed: 0, notRunAnswers: 0 };
       this.results.set(name, result);
     }
     return result;
--- a/lab/simulator/sidecars/sim-gate-services.ts
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -6,6 +6,7 @@
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { KindImpact } from '../../../src/admission/kind-impact.js';
 import { KindLimiter } from '../../../src/admission/kind-limiter.js';
+import type { PathBottlenecks } from '../../../src/admission/path-bottlenecks.js';
 import type { TargetRateLimiter } from '../../../src/admission/target-rate-limiter.js';
 import { KindCircuitBreaker } from '../../../src/admission/kind-circuit-breaker.js';
 import type { SlotLimiter } from '../../../src/admission/slot-limiter.js';
@@ -28,20 +29,24 @@
   readonly downstream: CongestionLevel;
   readonly retryBudget: ServiceRetryBudget;
   readonly repeatedRuns: RepeatedRuns;
+  /** Undefined if the gate tells no bottlenecks. */
+  readonly bottlenecks: (admission: AdmissionController) => PathBottlenecks | undefined;
 }
 
 export function simGateServices(options: SimGateOptions): GateServices {
   const { clock, random, limiter, rateLimiter, downstream, retryBudget, repeatedRuns } = options;
+  const admission = new AdmissionController({
+    clock,
+    random,
+    limiter,
+    rateLimiter,
+    ...GATE_SHARING,
+    queueWaitMs: () => QUEUE_WAIT_MS,
+  });
   return {
     clock,
-    admission: new AdmissionController({
-      clock,
-      random,
-      limiter,
-      rateLimiter,
-      ...GATE_SHARING,
-      queueWaitMs: () => QUEUE_WAIT_MS,
-    }),
+    admission,
+    bottlenecks: options.bottlenecks(admission),
     claims: NO_CLAIMS,
     isLeaving: () => false,
     queueLevels: Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock)),
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -3,6 +3,13 @@
  * Links between machines have a fixed delay and lose no messages.
  */
 import { clientRetryAfterSeconds } from '../../../src/call/retry-after.js';
+import type { AdmissionController } from '../../../src/admission/admission-controller.js';
+import { NestedCallShares } from '../../../src/admission/nested-call-shares.js';
+import { PathBottlenecks } from '../../../src/admission/path-bottlenecks.js';
+import { TargetPressure } from '../../../src/admission/target-pressure.js';
+import type { CallContext } from '../../../src/call/call-context.js';
+import { FirstHopRoom } from '../../../src/ingress/first-hop-room.js';
+import { noRoomDownstream } from '../../../src/ingress/ingress-rules.js';
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
 import { TargetRateLimiter } from '../../../src/admission/target-rate-limiter.js';
@@ -40,7 +47,7 @@
 import { ServiceDirectory } from '../../../src/routing/service-directory.js';
 import { DEFAULT_RETRY_BOUND } from '../../../src/settings/schemas.js';
 import type { ArrivalLedger } from './arrival-ledger.js';
-import type { SimRoute, SimService } from './call-graph.js';
+import type { SimRoute, SimService, WorkTail } from './call-graph.js';
 import { RequestLineage } from './request-lineage.js';
 import { simGateServices } from './sim-gate-services.js';
 import type { RunEnd, SlotAccount, SlotUse } from './slot-account.js';
@@ -59,6 +66,10 @@
   onAttempt(crossesZones: boolean): void;
   /** Returns the faults currently injected at the targets of a service. */
   targetFaults(service: string): TargetFaults;
+  /** Calls that take much longer than others of their route; undefined for none. */
+  readonly workTail: WorkTail | undefined;
+  /** Whether ingresses refuse requests that have no room at a service below. */
+  readonly firstHopRoom: boolean;
   readonly arrivals: ArrivalLedger;
   readonly slots: SlotAccount;
 }
@@ -77,6 +88,9 @@
   readonly retryAfterSeconds: number;
 }
 
+/** A request that was refused before anything of it was sent. */
+const NOT_SENT: Cancellable = { cancel: () => undefined };
+
 /** Receives the answer of a gate; `status` is 0 if no answer of the target was relayed. */
 type GateAnswerListener = (status: number, outcome: Outcome) => void;
 
@@ -96,6 +110,8 @@
   private readonly router: OutboundRouter;
   private readonly nestedRoutes = new NestedRoutes();
   private readonly clientWaits = new ClientWaitEstimator();
+  private bottlenecks: PathBottlenecks | undefined;
+  private readonly room: FirstHopRoom | undefined;
   private activeWork: SimTargetWork[] = [];
 
   constructor(
@@ -144,7 +160,9 @@
       downstream: this.downstream,
       retryBudget: this.retryBudget,
       repeatedRuns: this.repeatedRuns,
+      bottlenecks: (admission) => this.createBottlenecks(admission),
     });
+    if (world.firstHopRoom) this.room = new FirstHopRoom(clock, random);
     this.router = new OutboundRouter({
       clock,
       random,
@@ -153,6 +171,18 @@
     });
   }
 
+  private createBottlenecks(admission: AdmissionController): PathBottlenecks | undefined {
+    const { clock, firstHopRoom } = this.world;
+    if (!firstHopRoom) return undefined;
+    this.bottlenecks = new PathBottlenecks({
+      clock,
+      service: () => this.service.name,
+      pressure: new TargetPressure(clock, () => admission.status()),
+      shares: new NestedCallShares(clock),
+    });
+    return this.bottlenecks;
+  }
+
   /** Number of calls in progress at the target. */
   get running(): number {
     this.activeWork = this.activeWork.filter((work) => work.isRunning);
@@ -196,6 +226,8 @@
         : 0,
     };
     const context = createIngressContext(route, arrival);
+    if (this.nestedRoutes.has(route.name)) this.bottlenecks?.onNestedCall(route.name);
+    else if (this.refusesForRoom(route, context, done)) return NOT_SENT;
     const frame = (envelope: AttemptMetadata): CallFrameContext =>
       createFrameContext(context, envelope, clock.now());
     const transport = new SimPeerTransport(this.world, this.record, frame, lineage);
@@ -243,9 +275,27 @@
     return call;
   }
 
+  private refusesForRoom(
+    route: Route,
+    { importance, clientWaitedMs = 0 }: CallContext,
+    done: (answer: SimAnswer) => void,
+  ): boolean {
+    const request = { route: route.name, importance, clientWaitedMs };
+    const noRoom = this.room?.admit(request);
+    if (noRoom === undefined) return false;
+    const { refusal } = noRoomDownstream(noRoom);
+    const retryAfterSeconds = clientRetryAfterSeconds(
+      route.objectiveMs,
+      refusal,
+      this.world.random,
+    );
+    done({ status: refusalStatus(refusal), retryAfterSeconds });
+    return true;
+  }
+
   private recordResult(route: string, result: OutboundResult): void {
-    const { nestedRoutes, downstream, retryBudget } = this;
-    recordResult({ nestedRoutes, downstream, retryBudget }, route, result);
+    const { nestedRoutes, downstream, retryBudget, bottlenecks, room } = this;
+    recordResult({ nestedRoutes, downstream, retryBudget, bottlenecks, room }, route, result);
   }
 
   private answerOf(route: Route, result: OutboundResult, status: number): SimAnswer {
@@ -277,7 +327,7 @@
           clock,
           random,
           route,
-          this.workFactor * this.slowFactor(),
+          this.workFactor * this.slowFactor() * this.tailFactor(),
           deadlineAt - clock.now(),
           (name, deadlineMs, nestedDone) =>
             this.ingress(
@@ -328,6 +378,11 @@
     return this.index < slowPart * this.service.targets ? slowFactor : 1;
   }
 
+  private tailFactor(): number {
+    const { workTail, random } = this.world;
+    return workTail !== undefined && random.next() < workTail.part ? workTail.factor : 1;
+  }
+
   /** @returns whether the arrival is a repeat */
   private countArrival(lineage: RequestLineage): boolean {
     this.arrivalTimes.push(this.world.clock.now());
--- a/lab/simulator/sidecars/ticket-graph.ts
+++ b/lab/simulator/sidecars/ticket-graph.ts
@@ -8,6 +8,8 @@
 
 export const TICKET_GRAPH: CallGraph = {
   zones: 3,
+  zoneDemand: [0.25, 0.25, 0.5],
+  workTail: { part: 0.03, factor: 7 },
   services: [
     { name: 'planner', targets: 41, slots: 45, workFactors: [0.7, 0.7, 1.6] },
     { name: 'booking', targets: 30, slots: 62, workFactors: [0.7, 0.7, 1.6] },
--- a/src/gate/call-hooks.ts
+++ b/src/gate/call-hooks.ts
@@ -4,6 +4,7 @@
  * {@link NODE_CALL_HOOKS}, which limit and track nothing.
  */
 import { ANY_CALLER, type CallerKey } from '../admission/target-rate-limiter.js';
+import type { Bottleneck } from '../call/outcome.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { KindRefusal } from './kind-refusal.js';
@@ -50,6 +51,8 @@
   release(): void;
   /** Congestion to report to the caller, 0 to 1; undefined if it is not tracked. */
   congestion(): number | undefined;
+  /** The most loaded service on the path of the call, to report to the caller; undefined if there is none. */
+  bottleneck(): Bottleneck | undefined;
 }
 
 function noop(): void {
@@ -76,4 +79,5 @@
   isLikelyCause: () => false,
   release: noop,
   congestion: () => undefined,
+  bottleneck: () => undefined,
 };
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -7,6 +7,7 @@
 import { RunResult } from '../admission/kind-circuit-breaker.js';
 import { HttpStatus } from '../common/http-status.js';
 import type { CallContext } from '../call/call-context.js';
+import type { Bottleneck } from '../call/outcome.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import type { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { CallHooks } from './call-hooks.js';
@@ -85,6 +86,7 @@
     this.retryBudget.onDispatch();
     this.arrivedAt = this.services.clock.now();
     this.services.runOutcomes.onStart(this.context.kind);
+    this.services.bottlenecks?.onStart(this.context.kind);
     return this.services.crashGuard.begin(this.context.fingerprint ?? '');
   }
 
@@ -112,10 +114,15 @@
     return reportedCongestion(this.services, this.context.kind, this.isNested, queueLevel);
   }
 
+  bottleneck(): Bottleneck | undefined {
+    return this.services.bottlenecks?.bottleneckOf(this.context.kind);
+  }
+
   /** Records once how the run in the target ended. */
   private endRun(result: RunResult): void {
     if (this.arrivedAt === undefined) return;
-    const { runOutcomes, clock } = this.services;
+    const { runOutcomes, clock, bottlenecks } = this.services;
+    bottlenecks?.onEnd(this.context.kind);
     runOutcomes.onEnd(this.context.kind, result, clock.now() - this.arrivedAt);
     this.arrivedAt = undefined;
   }
--- a/src/gate/inbound-services.ts
+++ b/src/gate/inbound-services.ts
@@ -5,6 +5,7 @@
 import type { AdmissionController } from '../admission/admission-controller.js';
 import type { CongestionLevel } from '../admission/congestion-level.js';
 import type { KindCircuitBreaker } from '../admission/kind-circuit-breaker.js';
+import type { PathBottlenecks } from '../admission/path-bottlenecks.js';
 import type { Clock } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
 import type { KeyClaims } from '../dedup/claim.js';
@@ -45,6 +46,8 @@
    */
   readonly queueLevels: readonly CongestionLevel[];
   readonly crashGuard: GateCrashGuard;
+  /** The bottleneck that answers tell; undefined if none is told. */
+  readonly bottlenecks?: PathBottlenecks | undefined;
   /** Tracks whether the target answers calls in time. */
   readonly runOutcomes: KindCircuitBreaker;
 }
--- a/src/gate/outcome-builder.ts
+++ b/src/gate/outcome-builder.ts
@@ -33,6 +33,7 @@
   takeOutcome(verdict: Verdict, refusal: RefusalReason | undefined): Outcome {
     const congestion = this.hooks.congestion();
     const returnInMs = this.msUntilReturn();
+    const bottleneck = this.hooks.bottleneck();
     return {
       verdict,
       refusal,
@@ -42,6 +43,7 @@
       ...(this.rejectedByTarget && { rejectedByTarget: true }),
       ...(this.crashNote !== undefined && { crashNote: this.crashNote }),
       ...(returnInMs > 0 && { returnInMs }),
+      ...(bottleneck !== undefined && { bottleneck }),
       unspentRetries: this.allowance.end(),
       load: this.loadReport(),
     };
--- /dev/null
+++ b/src/ingress/first-hop-room.ts
@@ -0,0 +1,143 @@
+/**
+ * Refuses client requests at their first hop while a service on their path has no room for all of them, lowest rank first and
+ * before any work. Answers tell which service that is and how much more is asked of it than it has ({@link Bottleneck}).
+ * Nested calls are not refused: the work of their callers would be lost.
+ *
+ * Owns one {@link RoomLevel} for each bottleneck service, and which routes lead there. A process that has been told nothing, or
+ * nothing for seconds, admits everything; the limits of the gates apply either way.
+ */
+import { RoomLevel } from '../admission/room-level.js';
+import type { Bottleneck } from '../call/outcome.js';
+import { BoundedMap } from '../common/bounded-map.js';
+import type { Clock } from '../common/clock.js';
+import type { RandomSource } from '../common/random.js';
+import type { Importance } from '../policy/importance.js';
+
+/** Answers to a route before it may be refused: until then it may be one that targets call. */
+const MIN_ANSWERS = 5;
+/** Routes and services that are kept, to bound memory. */
+const MAX_ROUTES = 1_000;
+const MAX_SERVICES = 100;
+/** Time after which a route that was not told a bottleneck any more is no longer taken to lead there, in milliseconds. */
+const MAX_LINK_AGE_MS = 30_000;
+/** Place of a returning request among those of its rank, as a multiple of that of a new one: it has less time left. */
+const RETURNING_POSITION = 0.5;
+/** Admitted parts below which a level is reported as refusing, and above which as open again. */
+const REFUSING_BELOW = 0.9;
+const OPEN_ABOVE = 0.99;
+
+/** A request of a client, before anything of it is sent. */
+export interface RoomRequest {
+  readonly route: string;
+  readonly importance: Importance;
+  /** Time that the client spent on earlier attempts, in milliseconds. */
+  readonly clientWaitedMs: number;
+}
+
+/** Why a request does not fit. */
+export interface NoRoom {
+  readonly service: string;
+  /** Part of the requests of its rank that is admitted, 0 to 1. */
+  readonly admittedPart: number;
+}
+
+/** A level began to refuse, or admits everything again. */
+export interface RoomChange {
+  readonly service: string;
+  readonly isRefusing: boolean;
+  /** Part of the requests that is admitted, 0 to 1. */
+  readonly admittedPart: number;
+  readonly pressure: number;
+}
+
+interface RouteState {
+  answers: number;
+  /** When the route was last told each service as its bottleneck, in monotonic milliseconds. */
+  readonly toldAt: Map<string, number>;
+}
+
+interface ServiceState {
+  readonly level: RoomLevel;
+  isRefusing: boolean;
+}
+
+export class FirstHopRoom {
+  private readonly routes = new BoundedMap<RouteState>(MAX_ROUTES);
+  private readonly services = new BoundedMap<ServiceState>(MAX_SERVICES);
+
+  /** @param onChange called when a level begins to refuse or is open again */
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly onChange: (change: RoomChange) => void = () => undefined,
+  ) {}
+
+  /** Decides about a request of a client. @returns undefined if it is admitted */
+  admit({ route, importance, clientWaitedMs }: RoomRequest): NoRoom | undefined {
+    const state = this.routes.get(route);
+    if (state === undefined || state.answers < MIN_ANSWERS) return undefined;
+    const position = this.random.next() * (clientWaitedMs > 0 ? RETURNING_POSITION : 1);
+    let noRoom: NoRoom | undefined;
+    for (const [service, toldAt] of state.toldAt) {
+      const level = this.services.get(service)?.level;
+      if (level === undefined || this.clock.now() - toldAt > MAX_LINK_AGE_MS) continue;
+      level.onOffered(importance);
+      const admittedPart = level.admittedPartOf(importance);
+      if (position >= admittedPart && admittedPart < (noRoom?.admittedPart ?? 1)) {
+        noRoom = { service, admittedPart };
+      }
+    }
+    return noRoom;
+  }
+
+  /** A request of a client was answered or refused by a gate. @param told undefined if its path is under no pressure */
+  onAnswer(route: string, told: Bottleneck | undefined): void {
+    const state = this.routeState(route);
+    state.answers += 1;
+    if (told !== undefined) {
+      state.toldAt.set(told.service, this.clock.now());
+      this.serviceState(told.service);
+    }
+    for (const service of state.toldAt.keys()) {
+      // Another service is told while it is the most loaded one on the path: this one is at most as loaded.
+      const pressure = told?.pressure ?? 1;
+      this.onPressure(service, pressure, service === told?.service);
+    }
+  }
+
+  /** Part of the requests that lead to `service` which is admitted, 0 to 1, for each service that was a bottleneck. */
+  *admittedParts(): Iterable<[service: string, part: number]> {
+    for (const [service, { level }] of this.services) yield [service, level.admittedPart];
+  }
+
+  /** @param isExact whether it is the pressure of the service, and not an upper bound */
+  private onPressure(service: string, pressure: number, isExact: boolean): void {
+    const state = this.services.get(service);
+    if (state === undefined) return;
+    const { level } = state;
+    if (isExact || 1 / pressure > level.admittedPart) level.onPressure(pressure);
+    const { admittedPart } = level;
+    const isRefusing = state.isRefusing ? admittedPart < OPEN_ABOVE : admittedPart < REFUSING_BELOW;
+    if (isRefusing === state.isRefusing) return;
+    state.isRefusing = isRefusing;
+    this.onChange({ service, isRefusing, admittedPart, pressure });
+  }
+
+  private routeState(route: string): RouteState {
+    let state = this.routes.get(route);
+    if (state === undefined) {
+      state = { answers: 0, toldAt: new Map() };
+      this.routes.set(route, state);
+    }
+    return state;
+  }
+
+  private serviceState(service: string): ServiceState {
+    let state = this.services.get(service);
+    if (state === undefined) {
+      state = { level: new RoomLevel(this.clock), isRefusing: false };
+      this.services.set(service, state);
+    }
+    return state;
+  }
+}
--- a/src/ingress/ingress-rules.ts
+++ b/src/ingress/ingress-rules.ts
@@ -13,7 +13,8 @@
  *  8. too-large            {@link decideOnBody}    413  the body is read before anything is sent, so that a slow client
  *     request-timeout      {@link decideOnBody}    408  occupies no slot of a target and the request can be sent again
  *  9. quarantined          {@link decideOnSending} 503  needs the body; before the quota, so that no permit is used
- * 10. rate-limited         {@link rateLimited}     429  last, so that only requests that may run use a permit
+ * 10. overload             {@link noRoomDownstream} 503  before the quota, so that no permit is used; only where a bottleneck is told
+ * 11. rate-limited         {@link rateLimited}     429  last, so that only requests that may run use a permit
  *
  * Requests that are sent are then subject to the rules of the outgoing call (`outbound/outbound-call.ts`) and of the gate
  * (`gate/inbound-call.ts`). If a planned stop ends before the body has arrived, {@link abortedByStop} is the refusal.
@@ -36,6 +37,7 @@
 import type { Route } from '../policy/route-table.js';
 import type { QuotaState } from '../quota/ingress-quota.js';
 import type { NestedRoutes } from '../routing/nested-routes.js';
+import type { NoRoom } from './first-hop-room.js';
 import { decideAccess } from './group-access.js';
 
 /** Bytes of a header line besides name and value: colon, space, CR and LF. */
@@ -149,7 +151,7 @@
   | { readonly type: 'ask-quota'; readonly group: Group; readonly maxWaitMs: number }
   | Refused;
 
-/** Rules 9 and 10: applied when the body of a request has been read. */
+/** Rules 9 to 11: applied when the body of a request has been read. */
 export function decideOnSending({ route, group, isQuarantined }: ReadRequest): SendingDecision {
   if (isQuarantined) {
     return refused('quarantined', QUARANTINED_SECONDS, 'Targets crash under the request.');
@@ -159,7 +161,14 @@
   return { type: 'ask-quota', group, maxWaitMs: route.objectiveMs * QUOTA_WAIT_FRACTION };
 }
 
-/** Rule 10: no permit became available within the wait. */
+/** Rule 10: a service on the path of the request has no room for requests of its rank. */
+export function noRoomDownstream({ service, admittedPart }: NoRoom): Refused {
+  const percent = Math.round(admittedPart * 100);
+  const detail = `Service '${service}' has room for ${percent}% of the requests of this rank.`;
+  return refused('overload', SHORT_RETRY_SECONDS, detail);
+}
+
+/** Rule 11: no permit became available within the wait. */
 export function rateLimited(group: Group, quota: QuotaState): Refused {
   const detail = `Group '${group.name}' is at its rate. ${quota.description}`;
   return refused('rate-limited', quota.retryAfterSeconds, detail);
--- a/src/ingress/result-observers.ts
+++ b/src/ingress/result-observers.ts
@@ -4,9 +4,11 @@
  * simulated one.
  */
 import type { CongestionLevel } from '../admission/congestion-level.js';
+import type { PathBottlenecks } from '../admission/path-bottlenecks.js';
 import type { OutboundResult } from '../outbound/outbound-request.js';
 import type { ServiceRetryBudget } from '../retry/service-retry-budget.js';
 import type { NestedRoutes } from '../routing/nested-routes.js';
+import type { FirstHopRoom } from './first-hop-room.js';
 
 /** Receivers of the results of requests. */
 export interface ResultObservers {
@@ -16,6 +18,10 @@
   readonly downstream: CongestionLevel;
   /** Grants no repeats while a service that the target calls accepts none. */
   readonly retryBudget: ServiceRetryBudget;
+  /** Passes the bottleneck downstream on to the callers of the target; undefined if it is not told. */
+  readonly bottlenecks?: PathBottlenecks | undefined;
+  /** Refuses requests of clients that have no room downstream; undefined if none are refused for that. */
+  readonly room?: FirstHopRoom | undefined;
 }
 
 /**
@@ -23,16 +29,18 @@
  * @returns whether the route has changed between nested and not nested
  */
 export function recordResult(
-  { nestedRoutes, downstream, retryBudget }: ResultObservers,
+  observers: ResultObservers,
   route: string,
   result: OutboundResult,
 ): boolean {
+  const { nestedRoutes, downstream, retryBudget, bottlenecks, room } = observers;
   if (result.type === 'broken') return false;
   const hasChanged = result.nested !== undefined && nestedRoutes.onAnswer(route, result.nested);
   if (nestedRoutes.has(route)) {
     downstream.onCall(congestionOf(result));
     retryBudget.onDownstreamCall(result.repeatRoom);
-  }
+    bottlenecks?.onNestedAnswer(route, result.bottleneck);
+  } else if (result.nested !== undefined) room?.onAnswer(route, result.bottleneck);
   return hasChanged;
 }
 
--- a/src/outbound/call-feedback.ts
+++ b/src/outbound/call-feedback.ts
@@ -5,7 +5,7 @@
 import type { CallThrottle } from '../admission/call-throttle.js';
 import type { Clock } from '../common/clock.js';
 import { combineVerdicts, type Verdict } from '../common/verdict.js';
-import type { Outcome } from '../call/outcome.js';
+import type { Bottleneck, Outcome } from '../call/outcome.js';
 import type { AnswerHead } from '../call/transport.js';
 import { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { CallReport } from './outbound-request.js';
@@ -17,6 +17,7 @@
   private overloaded = false;
   private congestion = 0;
   private nested: boolean | undefined;
+  private bottleneck: Bottleneck | undefined;
   private repeatRoom = AcceptedRepeats.Runs;
 
   constructor(
@@ -37,8 +38,14 @@
 
   /** Returns the report that is part of the result of the call. */
   report(): CallReport {
-    const { overloaded, congestion, nested, repeatRoom } = this;
-    return { overloaded, congestion, nested, repeatRoom };
+    const { overloaded, congestion, nested, repeatRoom, bottleneck } = this;
+    return {
+      overloaded,
+      congestion,
+      nested,
+      repeatRoom,
+      ...(bottleneck !== undefined && { bottleneck }),
+    };
   }
 
   /** Records that the throttle of this process refused the call. */
@@ -55,6 +62,7 @@
   /** Records what a gate reports with an answer or a refusal. */
   onOutcome(outcome: Outcome): void {
     this.nested = outcome.nested === true;
+    this.bottleneck = outcome.bottleneck;
     this.repeatRoom = outcome.load?.repeatRoom ?? AcceptedRepeats.Runs;
     this.mayHaveArrived ||= mayHaveReachedTarget(outcome);
   }
--- a/src/outbound/outbound-request.ts
+++ b/src/outbound/outbound-request.ts
@@ -7,6 +7,7 @@
 import type { RetryAllowance } from '../retry/retry-allowance.js';
 import type { RetryLimiter } from '../retry/retry-budget.js';
 import type { Balancer } from '../routing/balancer.js';
+import type { Bottleneck } from '../call/outcome.js';
 import type { Refusal } from '../call/refusal.js';
 
 /** Parameters of an outbound call. */
@@ -48,6 +49,8 @@
   readonly congestion: number;
   /** Whether such calls are made by targets rather than by clients; undefined if no gate has answered. */
   readonly nested: boolean | undefined;
+  /** The most loaded service on the path of the call; undefined if none is under pressure, or no gate has answered. */
+  readonly bottleneck?: Bottleneck;
   /** Which repeats the last callee that answered admits; all if none answered. */
   readonly repeatRoom: AcceptedRepeats;
 }
