--- a/lab/simulator/sidecars/sim-gate-services.ts
+++ b/lab/simulator/sidecars/sim-gate-services.ts
@@ -15,7 +15,7 @@
 import { NO_CLAIMS } from '../../../src/dedup/no-claims.js';
 import { GATE_SHARING, QUEUE_WAIT_MS } from '../../../src/gate/gate-policy.js';
 import type { GateServices } from '../../../src/gate/inbound-services.js';
-import { IMPORTANCE_COUNT } from '../../../src/policy/importance.js';
+import { IMPORTANCE_COUNT, type Importance } from '../../../src/policy/importance.js';
 import type { RepeatedRuns } from '../../../src/retry/repeated-runs.js';
 import type { ServiceRetryBudget } from '../../../src/retry/service-retry-budget.js';
 
@@ -30,6 +30,7 @@
   readonly retryBudget: ServiceRetryBudget;
   readonly repeatedRuns: RepeatedRuns;
   /** Undefined if the gate tells no bottlenecks. */
+  readonly isFavoured: (service: string, importance: Importance) => boolean;
   readonly bottlenecks: (admission: AdmissionController) => PathBottlenecks | undefined;
 }
 
@@ -47,6 +48,7 @@
     clock,
     admission,
     bottlenecks: options.bottlenecks(admission),
+    isFavoured: options.isFavoured,
     claims: NO_CLAIMS,
     isLeaving: () => false,
     queueLevels: Array.from({ length: IMPORTANCE_COUNT }, () => new CongestionLevel(clock)),
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -161,6 +161,7 @@
       retryBudget: this.retryBudget,
       repeatedRuns: this.repeatedRuns,
       bottlenecks: (admission) => this.createBottlenecks(admission),
+      isFavoured: (bottleneck, importance) => this.room?.favours(bottleneck, importance) === true,
     });
     if (world.firstHopRoom) this.room = new FirstHopRoom(clock, random);
     this.router = new OutboundRouter({
--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -10,8 +10,18 @@
 const MIN_WEIGHT = 0.1;
 /** Part of a rank that is shut out which is still admitted as probes, so that answers keep telling the ratio. */
 const PROBE_PART = 0.02;
-/** Time constant over which the ranks of the offered requests are counted, in milliseconds. */
-const MIX_MS = 5_000;
+/** Part below which a rank counts as shut out. */
+const SHUT_BELOW = 0.1;
+/**
+ * Time for which the lower ranks are shut out before a rank is, in milliseconds: what was admitted before still waits at the
+ * bottleneck for about that long. And the time in which the part of a rank falls from 1 to 0 at most.
+ */
+const EFFECT_MS = 1_500;
+const FALL_MS = 300;
+/** Admitted part below which ranks that are admitted in full are favoured. */
+const FAVOURS_BELOW = 0.95;
+/** Requests of a rank below which it counts as absent. */
+const MIN_OFFERED = 0.5;
 /** Time without news after which the level opens, and the time constant with which the ratio then falls, in milliseconds. */
 const MAX_NEWS_AGE_MS = 1_500;
 const OPENING_MS = 1_000;
@@ -20,22 +30,15 @@
   /** Ratio of demand to capacity, at least 1. */
   private pressure = 1;
   private toldAt: number;
-  private mixAt: number;
-  /** Decayed number of offered requests by importance. */
-  private readonly offered = new Array<number>(IMPORTANCE_COUNT).fill(0);
+  private updatedAt: number;
+  /** Admitted part by importance, and when it was last above {@link SHUT_BELOW}. */
+  private readonly parts = new Array<number>(IMPORTANCE_COUNT).fill(1);
+  private readonly shutSince: number[];
 
   constructor(private readonly clock: Clock) {
     this.toldAt = clock.now();
-    this.mixAt = this.toldAt;
-  }
-
-  /** Counts an offered request, whether or not it is admitted. */
-  onOffered(importance: Importance): void {
-    const now = this.clock.now();
-    const kept = Math.exp((this.mixAt - now) / MIX_MS);
-    this.mixAt = now;
-    for (let each = 0; each < IMPORTANCE_COUNT; each += 1) this.offered[each]! *= kept;
-    this.offered[importance]! += 1;
+    this.updatedAt = this.toldAt;
+    this.shutSince = new Array<number>(IMPORTANCE_COUNT).fill(this.toldAt);
   }
 
   /** An answer told the ratio of demand to capacity; 1 if there is room for all. */
@@ -52,18 +55,42 @@
     return 1 / this.currentPressure();
   }
 
-  /** Part of the requests of one importance that is admitted, 0 to 1. */
-  admittedPartOf(importance: Importance): number {
-    const { offered, admittedPart } = this;
+  /** Whether requests of lower ranks are refused in favour of those of one importance, none of which is refused. */
+  favours(importance: Importance): boolean {
+    return this.admittedPart < FAVOURS_BELOW && this.parts[importance]! >= 1;
+  }
+
+  /**
+   * Part of the requests of one importance that is admitted, 0 to 1.
+   * @param offered recent requests that lead to the service, by importance
+   */
+  admittedPartOf(importance: Importance, offered: readonly number[]): number {
+    this.update(offered);
+    return this.parts[importance]!;
+  }
+
+  /** Moves the parts of all ranks towards what the told ratio leaves for them. */
+  private update(offered: readonly number[]): void {
+    const now = this.clock.now();
+    const elapsedMs = now - this.updatedAt;
+    this.updatedAt = now;
     let total = 0;
-    let moreUrgent = 0;
+    for (const each of offered) total += each;
+    let room = this.admittedPart * total;
+    let mayFall = true;
+    const falls: boolean[] = [];
     for (let each = 0; each < IMPORTANCE_COUNT; each += 1) {
-      total += offered[each]!;
-      if (each > importance) moreUrgent += offered[each]!;
+      falls.push(mayFall);
+      mayFall &&= now - this.shutSince[each]! >= EFFECT_MS || offered[each]! < MIN_OFFERED;
+    }
+    for (let each = IMPORTANCE_COUNT - 1; each >= 0; each -= 1) {
+      const own = offered[each]!;
+      const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(1, own)));
+      room -= own;
+      const lowest = falls[each] ? this.parts[each]! - elapsedMs / FALL_MS : this.parts[each]!;
+      this.parts[each] = Math.max(wanted, lowest);
+      if (this.parts[each]! > SHUT_BELOW) this.shutSince[each] = now;
     }
-    const room = admittedPart * total - moreUrgent;
-    const part = room / Math.max(1, offered[importance]!);
-    return Math.min(1, Math.max(PROBE_PART, part));
   }
 
   private currentPressure(): number {
--- a/src/admission/target-pressure.ts
+++ b/src/admission/target-pressure.ts
@@ -14,16 +14,16 @@
 /** Time constant of the average of the load, in milliseconds: a target with few slots is full and empty by turns. */
 const AVERAGING_MS = 100;
 /** Time in which the ratio follows a constant load, in milliseconds: above the time from an admission to its effect here. */
-const INTEGRAL_MS = 600;
+const INTEGRAL_MS = 1_000;
 /** Time constant of the leak, in milliseconds. Keeps targets with unequal load from drifting apart. */
 const LEAK_MS = 3_000;
 /** Exponent of the proportional part. */
-const PROPORTIONAL = 0.5;
+const PROPORTIONAL = 0.8;
 /** Weight of waiting calls beyond the limit. They add up over time, so their number overstates the demand. */
-const EXCESS_WEIGHT = 0.5;
+const EXCESS_WEIGHT = 0.25;
 /** Bounds of the load that counts: outside them it is the past demand that shows. */
 const MIN_LOAD = 0.3;
-const MAX_LOAD = 1.5;
+const MAX_LOAD = 1.3;
 /** Largest ratio. */
 const MAX_RATIO = 10;
 /** Longest step of the integral, in milliseconds. */
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -65,7 +65,8 @@
   }
 
   acquireKindLimit(): KindRefusal | undefined {
-    return this.kindLimit.acquire(this.options.isPresumedNested ?? this.isNested);
+    const isExempt = (this.options.isPresumedNested ?? this.isNested) || this.isFavoured();
+    return this.kindLimit.acquire(isExempt);
   }
 
   tryAcquireRetryBudget(): boolean {
@@ -118,6 +119,13 @@
     return this.services.bottlenecks?.bottleneckOf(this.context.kind);
   }
 
+  /** Whether the first hops refuse lower ranks in favour of this call: the limit by kind would refuse it as well. */
+  private isFavoured(): boolean {
+    const { isFavoured } = this.services;
+    const bottleneck = isFavoured && this.bottleneck();
+    return bottleneck !== undefined && isFavoured!(bottleneck.service, this.context.importance);
+  }
+
   /** Records once how the run in the target ended. */
   private endRun(result: RunResult): void {
     if (this.arrivedAt === undefined) return;
--- a/src/gate/inbound-services.ts
+++ b/src/gate/inbound-services.ts
@@ -6,6 +6,7 @@
 import type { CongestionLevel } from '../admission/congestion-level.js';
 import type { KindCircuitBreaker } from '../admission/kind-circuit-breaker.js';
 import type { PathBottlenecks } from '../admission/path-bottlenecks.js';
+import type { Importance } from '../policy/importance.js';
 import type { Clock } from '../common/clock.js';
 import type { Verdict } from '../common/verdict.js';
 import type { KeyClaims } from '../dedup/claim.js';
@@ -48,6 +49,8 @@
   readonly crashGuard: GateCrashGuard;
   /** The bottleneck that answers tell; undefined if none is told. */
   readonly bottlenecks?: PathBottlenecks | undefined;
+  /** Whether lower ranks are refused at their first hop so that calls of this importance find room at the service. */
+  readonly isFavoured?: (service: string, importance: Importance) => boolean;
   /** Tracks whether the target answers calls in time. */
   readonly runOutcomes: KindCircuitBreaker;
 }
--- a/src/ingress/first-hop-room.ts
+++ b/src/ingress/first-hop-room.ts
@@ -11,7 +11,7 @@
 import { BoundedMap } from '../common/bounded-map.js';
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
-import type { Importance } from '../policy/importance.js';
+import { IMPORTANCE_COUNT, LOWEST_IMPORTANCE, type Importance } from '../policy/importance.js';
 
 /** Answers to a route before it may be refused: until then it may be one that targets call. */
 const MIN_ANSWERS = 5;
@@ -20,6 +20,8 @@
 const MAX_SERVICES = 100;
 /** Time after which a route that was not told a bottleneck any more is no longer taken to lead there, in milliseconds. */
 const MAX_LINK_AGE_MS = 30_000;
+/** Time constant over which requests are counted, in milliseconds. */
+const MIX_MS = 5_000;
 /** Place of a returning request among those of its rank, as a multiple of that of a new one: it has less time left. */
 const RETURNING_POSITION = 0.5;
 /** Admitted parts below which a level is reported as refusing, and above which as open again. */
@@ -50,14 +52,33 @@
   readonly pressure: number;
 }
 
+/** A number of events that decays with time. */
+class DecayingCount {
+  private value = 0;
+  private updatedAt = 0;
+
+  count(now: number): void {
+    this.value = this.current(now) + 1;
+    this.updatedAt = now;
+  }
+
+  current(now: number): number {
+    return this.value * Math.exp((this.updatedAt - now) / MIX_MS);
+  }
+}
+
 interface RouteState {
   answers: number;
+  importance: Importance;
+  readonly offered: DecayingCount;
   /** When the route was last told each service as its bottleneck, in monotonic milliseconds. */
   readonly toldAt: Map<string, number>;
 }
 
 interface ServiceState {
   readonly level: RoomLevel;
+  /** Routes that lead to the service. */
+  readonly routes: Set<RouteState>;
   isRefusing: boolean;
 }
 
@@ -74,15 +95,16 @@
 
   /** Decides about a request of a client. @returns undefined if it is admitted */
   admit({ route, importance, clientWaitedMs }: RoomRequest): NoRoom | undefined {
-    const state = this.routes.get(route);
-    if (state === undefined || state.answers < MIN_ANSWERS) return undefined;
+    const state = this.routeState(route);
+    state.importance = importance;
+    state.offered.count(this.clock.now());
+    if (state.answers < MIN_ANSWERS) return undefined;
     const position = this.random.next() * (clientWaitedMs > 0 ? RETURNING_POSITION : 1);
     let noRoom: NoRoom | undefined;
     for (const [service, toldAt] of state.toldAt) {
-      const level = this.services.get(service)?.level;
-      if (level === undefined || this.clock.now() - toldAt > MAX_LINK_AGE_MS) continue;
-      level.onOffered(importance);
-      const admittedPart = level.admittedPartOf(importance);
+      const target = this.services.get(service);
+      if (target === undefined || this.clock.now() - toldAt > MAX_LINK_AGE_MS) continue;
+      const admittedPart = target.level.admittedPartOf(importance, this.offeredTo(target));
       if (position >= admittedPart && admittedPart < (noRoom?.admittedPart ?? 1)) {
         noRoom = { service, admittedPart };
       }
@@ -96,7 +118,7 @@
     state.answers += 1;
     if (told !== undefined) {
       state.toldAt.set(told.service, this.clock.now());
-      this.serviceState(told.service);
+      this.serviceState(told.service).routes.add(state);
     }
     for (const service of state.toldAt.keys()) {
       // Another service is told while it is the most loaded one on the path: this one is at most as loaded.
@@ -105,6 +127,11 @@
     }
   }
 
+  /** Whether lower ranks are refused at their first hop so that requests of this importance find room at `service`. */
+  favours(service: string, importance: Importance): boolean {
+    return this.services.get(service)?.level.favours(importance) === true;
+  }
+
   /** Part of the requests that lead to `service` which is admitted, 0 to 1, for each service that was a bottleneck. */
   *admittedParts(): Iterable<[service: string, part: number]> {
     for (const [service, { level }] of this.services) yield [service, level.admittedPart];
@@ -123,10 +150,25 @@
     this.onChange({ service, isRefusing, admittedPart, pressure });
   }
 
+  /** Recent requests that lead to a service, by importance. */
+  private offeredTo({ routes }: ServiceState): number[] {
+    const now = this.clock.now();
+    const offered = new Array<number>(IMPORTANCE_COUNT).fill(0);
+    for (const { importance, offered: requests } of routes) {
+      offered[importance]! += requests.current(now);
+    }
+    return offered;
+  }
+
   private routeState(route: string): RouteState {
     let state = this.routes.get(route);
     if (state === undefined) {
-      state = { answers: 0, toldAt: new Map() };
+      state = {
+        answers: 0,
+        importance: LOWEST_IMPORTANCE,
+        offered: new DecayingCount(),
+        toldAt: new Map(),
+      };
       this.routes.set(route, state);
     }
     return state;
@@ -135,7 +177,7 @@
   private serviceState(service: string): ServiceState {
     let state = this.services.get(service);
     if (state === undefined) {
-      state = { level: new RoomLevel(this.clock), isRefusing: false };
+      state = { level: new RoomLevel(this.clock), routes: new Set(), isRefusing: false };
       this.services.set(service, state);
     }
     return state;
