--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -21,11 +21,19 @@
 /** Admitted part below which ranks that are admitted in full are favoured. */
 const FAVOURS_BELOW = 0.95;
 /** Requests of a rank below which it counts as absent. */
-const MIN_OFFERED = 0.5;
+export const MIN_OFFERED = 0.5;
 /** Time without news after which the level opens, and the time constant with which the ratio then falls, in milliseconds. */
 const MAX_NEWS_AGE_MS = 1_500;
 const OPENING_MS = 1_000;
 
+/** Recent requests at this process, by importance. */
+export interface OfferedMix {
+  /** Number of those that are known to lead to the service. */
+  readonly offered: readonly number[];
+  /** Whether there are any, also of routes that are not known to lead there. */
+  readonly isPresent: readonly boolean[];
+}
+
 export class RoomLevel {
   /** Ratio of demand to capacity, at least 1. */
   private pressure = 1;
@@ -62,15 +70,15 @@
 
   /**
    * Part of the requests of one importance that is admitted, 0 to 1.
-   * @param offered recent requests that lead to the service, by importance
    */
-  admittedPartOf(importance: Importance, offered: readonly number[]): number {
-    this.update(offered);
+  admittedPartOf(importance: Importance, mix: OfferedMix): number {
+    this.update(mix);
     return this.parts[importance]!;
   }
 
   /** Moves the parts of all ranks towards what the told ratio leaves for them. */
-  private update(offered: readonly number[]): void {
+  private update(mix: OfferedMix): void {
+    const { offered } = mix;
     const now = this.clock.now();
     const elapsedMs = now - this.updatedAt;
     this.updatedAt = now;
@@ -81,7 +89,7 @@
     const falls: boolean[] = [];
     for (let each = 0; each < IMPORTANCE_COUNT; each += 1) {
       falls.push(mayFall);
-      mayFall &&= now - this.shutSince[each]! >= EFFECT_MS || offered[each]! < MIN_OFFERED;
+      mayFall &&= now - this.shutSince[each]! >= EFFECT_MS || !mix.isPresent[each];
     }
     for (let each = IMPORTANCE_COUNT - 1; each >= 0; each -= 1) {
       const own = offered[each]!;
@@ -89,12 +97,14 @@
       room -= own;
       const lowest = falls[each] ? this.parts[each]! - elapsedMs / FALL_MS : this.parts[each]!;
       this.parts[each] = Math.max(wanted, lowest);
-      if (this.parts[each]! > SHUT_BELOW) this.shutSince[each] = now;
+      if (this.parts[each]! > SHUT_BELOW && own >= MIN_OFFERED) this.shutSince[each] = now;
     }
   }
 
   private currentPressure(): number {
     const silentMs = this.clock.now() - this.toldAt - MAX_NEWS_AGE_MS;
-    return silentMs <= 0 ? this.pressure : 1 + (this.pressure - 1) * Math.exp(-silentMs / OPENING_MS);
+    return silentMs <= 0
+      ? this.pressure
+      : 1 + (this.pressure - 1) * Math.exp(-silentMs / OPENING_MS);
   }
 }
--- a/src/ingress/first-hop-room.ts
+++ b/src/ingress/first-hop-room.ts
@@ -6,7 +6,7 @@
  * Owns one {@link RoomLevel} for each bottleneck service, and which routes lead there. A process that has been told nothing, or
  * nothing for seconds, admits everything; the limits of the gates apply either way.
  */
-import { RoomLevel } from '../admission/room-level.js';
+import { MIN_OFFERED, RoomLevel, type OfferedMix } from '../admission/room-level.js';
 import type { Bottleneck } from '../call/outcome.js';
 import { BoundedMap } from '../common/bounded-map.js';
 import type { Clock } from '../common/clock.js';
@@ -27,6 +27,8 @@
 /** Admitted parts below which a level is reported as refusing, and above which as open again. */
 const REFUSING_BELOW = 0.9;
 const OPEN_ABOVE = 0.99;
+/** Shortest time between two reports about a service, in milliseconds; bounds the log. */
+const MIN_CHANGE_MS = 1_000;
 
 /** A request of a client, before anything of it is sent. */
 export interface RoomRequest {
@@ -80,10 +82,13 @@
   /** Routes that lead to the service. */
   readonly routes: Set<RouteState>;
   isRefusing: boolean;
+  changedAt: number;
 }
 
 export class FirstHopRoom {
   private readonly routes = new BoundedMap<RouteState>(MAX_ROUTES);
+  /** Requests of clients by importance. */
+  private readonly offered = Array.from({ length: IMPORTANCE_COUNT }, () => new DecayingCount());
   private readonly services = new BoundedMap<ServiceState>(MAX_SERVICES);
 
   /** @param onChange called when a level begins to refuse or is open again */
@@ -98,13 +103,14 @@
     const state = this.routeState(route);
     state.importance = importance;
     state.offered.count(this.clock.now());
+    this.offered[importance]!.count(this.clock.now());
     if (state.answers < MIN_ANSWERS) return undefined;
     const position = this.random.next() * (clientWaitedMs > 0 ? RETURNING_POSITION : 1);
     let noRoom: NoRoom | undefined;
     for (const [service, toldAt] of state.toldAt) {
       const target = this.services.get(service);
       if (target === undefined || this.clock.now() - toldAt > MAX_LINK_AGE_MS) continue;
-      const admittedPart = target.level.admittedPartOf(importance, this.offeredTo(target));
+      const admittedPart = target.level.admittedPartOf(importance, this.mixOf(target));
       if (position >= admittedPart && admittedPart < (noRoom?.admittedPart ?? 1)) {
         noRoom = { service, admittedPart };
       }
@@ -145,19 +151,21 @@
     if (isExact || 1 / pressure > level.admittedPart) level.onPressure(pressure);
     const { admittedPart } = level;
     const isRefusing = state.isRefusing ? admittedPart < OPEN_ABOVE : admittedPart < REFUSING_BELOW;
-    if (isRefusing === state.isRefusing) return;
+    const now = this.clock.now();
+    if (isRefusing === state.isRefusing || now - state.changedAt < MIN_CHANGE_MS) return;
     state.isRefusing = isRefusing;
+    state.changedAt = now;
     this.onChange({ service, isRefusing, admittedPart, pressure });
   }
 
-  /** Recent requests that lead to a service, by importance. */
-  private offeredTo({ routes }: ServiceState): number[] {
+  private mixOf({ routes }: ServiceState): OfferedMix {
     const now = this.clock.now();
     const offered = new Array<number>(IMPORTANCE_COUNT).fill(0);
     for (const { importance, offered: requests } of routes) {
       offered[importance]! += requests.current(now);
     }
-    return offered;
+    const isPresent = this.offered.map((each) => each.current(now) >= MIN_OFFERED);
+    return { offered, isPresent };
   }
 
   private routeState(route: string): RouteState {
@@ -177,7 +185,12 @@
   private serviceState(service: string): ServiceState {
     let state = this.services.get(service);
     if (state === undefined) {
-      state = { level: new RoomLevel(this.clock), routes: new Set(), isRefusing: false };
+      state = {
+        level: new RoomLevel(this.clock),
+        routes: new Set(),
+        isRefusing: false,
+        changedAt: -Infinity,
+      };
       this.services.set(service, state);
     }
     return state;
--- a/src/ingress/ingress-exchange.ts
+++ b/src/ingress/ingress-exchange.ts
@@ -27,6 +27,7 @@
 import type { IngressQuota, QuotaPermit } from '../quota/ingress-quota.js';
 import type { RepeatedRuns } from '../retry/repeated-runs.js';
 import type { WeightedSplit } from '../routing/weighted-split.js';
+import type { NoRoom } from './first-hop-room.js';
 import { createIngressContext, createOutboundRequest } from './ingress-context.js';
 import { abortedByStop, decideOnBody, decideOnSending, rateLimited } from './ingress-rules.js';
 import { recordResult, type ResultObservers } from './result-observers.js';
@@ -132,7 +133,12 @@
     const fingerprint = this.fingerprint(body);
     const { route, group } = this.request;
     const isQuarantined = this.options.isQuarantined(fingerprint);
-    const decision = decideOnSending({ route, group, isQuarantined });
+    const decision = decideOnSending({
+      route,
+      group,
+      isQuarantined,
+      findNoRoom: () => this.findNoRoom(),
+    });
     if (decision.type === 'refused') {
       this.refuse(decision.refusal);
       return;
@@ -181,9 +187,10 @@
   }
 
   private send(body: RequestBody): void {
-    const { router, transport, nestedRoutes } = this.options;
+    const { router, transport, nestedRoutes, bottlenecks } = this.options;
     const { context, route, service, message, response } = this;
     const groupName = this.request.group?.name;
+    if (nestedRoutes.has(route.name)) bottlenecks?.onNestedCall(route.name);
     this.call = router.call(
       service,
       createOutboundRequest(route, context, nestedRoutes.has(route.name)),
@@ -192,6 +199,14 @@
     );
   }
 
+  /** Why a client's request has no room downstream; undefined if it has. Nested calls are sent in any case. */
+  private findNoRoom(): NoRoom | undefined {
+    const { nestedRoutes, room } = this.options;
+    const { name: route, importance } = this.route;
+    if (nestedRoutes.has(route)) return undefined;
+    return room?.admit({ route, importance, clientWaitedMs: this.context.clientWaitedMs ?? 0 });
+  }
+
   private fingerprint(body: RequestBody): string {
     const { message, service } = this;
     const isWhole = body.content === body.bufferedStart;
--- a/src/ingress/ingress-rules.ts
+++ b/src/ingress/ingress-rules.ts
@@ -142,6 +142,8 @@
   readonly route: Route;
   readonly group: Group | undefined;
   readonly isQuarantined: boolean;
+  /** Asks for room at the services on the path of the request; returns undefined if there is. Called at most once. */
+  readonly findNoRoom: () => NoRoom | undefined;
 }
 
 /** Result of the rules on a request whose body has been read. */
@@ -152,10 +154,13 @@
   | Refused;
 
 /** Rules 9 to 11: applied when the body of a request has been read. */
-export function decideOnSending({ route, group, isQuarantined }: ReadRequest): SendingDecision {
+export function decideOnSending(request: ReadRequest): SendingDecision {
+  const { route, group, isQuarantined, findNoRoom } = request;
   if (isQuarantined) {
     return refused('quarantined', QUARANTINED_SECONDS, 'Targets crash under the request.');
   }
+  const noRoom = findNoRoom();
+  if (noRoom !== undefined) return noRoomDownstream(noRoom);
   // Requests that need no key belong to no group and have no rate limit.
   if (group === undefined) return { type: 'send' };
   return { type: 'ask-quota', group, maxWaitMs: route.objectiveMs * QUOTA_WAIT_FRACTION };
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -13,7 +13,15 @@
 /** Creates the gate, which admits calls from other machines to the target. */
 export function createGate(parts: SidecarParts): GateServer {
   const { clock, admission, lease, journal, stopProgress, settings, headers } = parts;
-  const { queueLevels, downstream, retryBudget, repeatedRuns, crashGuard, instancePool } = parts;
+  const {
+    queueLevels,
+    downstream,
+    retryBudget,
+    repeatedRuns,
+    crashGuard,
+    instancePool,
+    roomParts,
+  } = parts;
   const durations = new CallDurations();
   return new GateServer({
     services: {
@@ -30,6 +38,8 @@
       retryBudget,
       repeatedRuns,
       crashGuard,
+      bottlenecks: roomParts?.bottlenecks,
+      isFavoured: (service, importance) => roomParts?.room.favours(service, importance) === true,
     },
     transport: {
       clock,
--- a/src/programs/sidecar-ingress.ts
+++ b/src/programs/sidecar-ingress.ts
@@ -17,7 +17,7 @@
 /** Creates the ingress, which accepts requests from clients and from the target on this machine. */
 export function createIngress(parts: SidecarParts): IngressServer {
   const { clock, random, directory, links, settings, split, journal, headers } = parts;
-  const { downstream, retryBudget, repeatedRuns, crashGuard, quota, follower } = parts;
+  const { downstream, retryBudget, repeatedRuns, crashGuard, quota, follower, roomParts } = parts;
   return new IngressServer({
     clock,
     random,
@@ -46,6 +46,8 @@
     downstream,
     retryBudget,
     repeatedRuns,
+    bottlenecks: roomParts?.bottlenecks,
+    room: roomParts?.room,
     nestedRoutes: new NestedRoutes(),
     isQuarantined: (fingerprint) => crashGuard.isQuarantined(fingerprint),
   });
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -5,6 +5,9 @@
  */
 import { AdmissionController } from '../admission/admission-controller.js';
 import { CongestionLevel } from '../admission/congestion-level.js';
+import { NestedCallShares } from '../admission/nested-call-shares.js';
+import { PathBottlenecks } from '../admission/path-bottlenecks.js';
+import { TargetPressure } from '../admission/target-pressure.js';
 import { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
 import { CallStats } from '../call/call-stats.js';
@@ -17,6 +20,7 @@
 import type { Follower } from '../follower/follower.js';
 import { GATE_SHARING, QUEUE_WAIT_MS, USABLE_SLOT_FRACTION } from '../gate/gate-policy.js';
 import type { TargetHeaders } from '../http/target-headers.js';
+import { FirstHopRoom } from '../ingress/first-hop-room.js';
 import { LinkPool } from '../link/link-pool.js';
 import { TargetAnnouncements } from '../membership/target-announcements.js';
 import { TargetConnectionPool } from '../membership/target-connection-pool.js';
@@ -93,11 +97,20 @@
   readonly quota: IngressQuota;
 }
 
+/** Room at the services on the path of requests. */
+interface RoomParts {
+  readonly pressure: TargetPressure;
+  readonly bottlenecks: PathBottlenecks;
+  readonly room: FirstHopRoom;
+}
+
 /** State shared by gate and ingress: the calls that the target makes leave through the ingress. */
 interface GateAndIngressParts {
   /** Congestion of the calls that the target makes. */
   readonly downstream: CongestionLevel;
   readonly repeatedRuns: RepeatedRuns;
+  /** Undefined if requests are not refused for want of room downstream. */
+  readonly roomParts: RoomParts | undefined;
 }
 
 /** The connection to control and the current configuration. */
@@ -132,14 +145,16 @@
     stopProgress: new StopProgress(clock),
   };
   const targetParts = createTargetParts(base, getParts);
+  const gateParts = createGateParts(base, targetParts.rateLimiter, getParts);
   const parts: SidecarParts = {
     ...base,
     ...createObservability(base),
     ...targetParts,
-    ...createGateParts(base, targetParts.rateLimiter, getParts),
+    ...gateParts,
     ...createIngressParts(base, getParts),
     downstream: new CongestionLevel(clock),
     repeatedRuns: new RepeatedRuns(),
+    roomParts: createRoomParts(base, gateParts.admission, targetParts.lease),
     ...createControlLink(base, getParts),
   };
   return parts;
@@ -229,6 +244,29 @@
   };
 }
 
+function createRoomParts(
+  { clock, random, settings, logger }: ProcessParts,
+  admission: AdmissionController,
+  lease: TargetLease,
+): RoomParts | undefined {
+  if (!settings.firstHopRoom) return undefined;
+  const pressure = new TargetPressure(clock, () => admission.status());
+  const log = logger.part('ingress');
+  return {
+    pressure,
+    bottlenecks: new PathBottlenecks({
+      clock,
+      service: () => lease.current?.service,
+      pressure,
+      shares: new NestedCallShares(clock),
+    }),
+    room: new FirstHopRoom(clock, random, ({ isRefusing, ...change }) => {
+      if (isRefusing) log.info('A service has no room for all requests that lead to it.', change);
+      else log.info('A service has room again for all requests that lead to it.', change);
+    }),
+  };
+}
+
 function createControlLink(base: ProcessParts, getParts: PartsGetter): ControlLinkParts {
   const { settings, logger, onConfiguration } = base;
   const follower = createProcessFollower(base, {
--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -9,6 +9,7 @@
 import { startAdminServer } from '../observe/admin-server.js';
 import { createNodeMetrics } from '../observe/node-metrics.js';
 import { registerQuarantineMetrics } from '../observe/quarantine-metrics.js';
+import { registerRoomMetrics } from '../observe/room-metrics.js';
 import { registerRateLimitMetrics } from '../observe/rate-limit-metrics.js';
 import { registerRetryMetrics } from '../observe/retry-metrics.js';
 import { followerReadiness, tableOf } from './follower-setup.js';
@@ -72,6 +73,7 @@
     retryBudget,
     crashGuard,
     announcements,
+    roomParts,
   } = parts;
   const registry = createNodeMetrics(inboundStats, outboundStats, admission, follower);
   registerRetryMetrics(registry, retryBudget);
@@ -80,5 +82,6 @@
     crashes: () => crashGuard.crashes,
     quarantines: () => tableOf(follower).quarantineCount,
   });
+  if (roomParts !== undefined) registerRoomMetrics(registry, roomParts.pressure, roomParts.room);
   return registry;
 }
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -47,6 +47,11 @@
   unframedAnswers: z.enum(['whole', 'cut-off']).default('whole'),
   /** Whether clients accept fractions of a second in `Retry-After`; RFC 9110 allows integers only. */
   fractionalRetryAfter: z.boolean().default(false),
+  /**
+   * Whether requests are refused at their first hop, by rank, while a service on their path has no room for all of them. All
+   * sidecars of a deployment tell which service that is.
+   */
+  firstHopRoom: z.boolean().default(false),
   /**
    * For deployments that revoke API keys: milliseconds after the acknowledgement of a revocation from which no machine
    * runs requests with the revoked key. If absent, a machine without contact to control keeps accepting the keys it knows.
