--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -251,7 +251,7 @@
 ): RoomParts | undefined {
   if (!settings.firstHopRoom) return undefined;
   const pressure = new TargetPressure(clock, () => admission.status());
-  const log = logger.part('ingress');
+  const log = logger.part('request');
   return {
     pressure,
     bottlenecks: new PathBottlenecks({
@@ -260,9 +260,11 @@
       pressure,
       shares: new NestedCallShares(clock),
     }),
-    room: new FirstHopRoom(clock, random, ({ isRefusing, ...change }) => {
-      if (isRefusing) log.info('A service has no room for all requests that lead to it.', change);
-      else log.info('A service has room again for all requests that lead to it.', change);
+    room: new FirstHopRoom(clock, random, (change) => {
+      const { service, isRefusing, admittedPart, pressure } = change;
+      const fields = { service, admittedPart, pressure };
+      if (isRefusing) log.info('A service has no room for all requests that lead to it.', fields);
+      else log.info('A service has room again for all requests that lead to it.', fields);
     }),
   };
 }
