--- a/lab/simulator/sidecars/sidecar-world.ts
+++ b/lab/simulator/sidecars/sidecar-world.ts
@@ -22,6 +22,12 @@
   readonly faults?: Readonly<Record<string, TargetFaults>>;
 }
 
+/** What the sidecars of a run do besides the default. */
+export interface SidecarWorldOptions {
+  /** Whether ingresses refuse requests that have no room at a service below. Default false. */
+  readonly firstHopRoom?: boolean;
+}
+
 /** Results of the client requests of one route. */
 export interface RouteResult {
   sent: number;
@@ -31,6 +37,8 @@
   late: number;
   refused: number;
   failed: number;
+  /** Answers of 503, those that a client retried included. */
+  notRunAnswers: number;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -63,6 +71,7 @@
   constructor(
     private readonly graph: CallGraph,
     seed: number,
+    private readonly options: SidecarWorldOptions = {},
   ) {
     this.random = new SeededRandom(seed);
     this.routes = new Map(graph.routes.map((each) => [each.route.name, each]));
@@ -80,6 +89,10 @@
     this.zones = zones.map((zone) => this.allSidecars.filter(({ record }) => record.zone === zone));
   }
 
+  get firstHopRoom(): boolean {
+    return this.options.firstHopRoom === true;
+  }
+
   route(name: string): SimRoute {
     return this.routes.get(name)!;
   }
@@ -188,6 +201,7 @@
     retries: number,
     answer: SimAnswer,
   ): void {
+    if (answer.status === STATUS_NOT_RUN) result.notRunAnswers += 1;
     const tookMs = this.clock.now() - request.sentAt;
     const leftMs = route.deadlineMs - tookMs;
     const { status, retryAfterSeconds } = answer;
@@ -204,7 +218,7 @@
   private resultOf(name: string): RouteResult {
     let result = this.results.get(name);
     if (result === undefined) {
-      result = { sent: 0, inTime: 0, late: 0, refused: 0, failed: 0 };
+      result = { sent: 0, inTime: 0, late: 0, refused: 0, failed: 0, notRunAnswers: 0 };
       this.results.set(name, result);
     }
     return result;
--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -3,6 +3,13 @@
  * Links between machines have a fixed delay and lose no messages.
  */
 import { clientRetryAfterSeconds } from '../../../src/call/retry-after.js';
+import type { AdmissionController } from '../../../src/admission/admission-controller.js';
+import { NestedCallShares } from '../../../src/admission/nested-call-shares.js';
+import { PathBottlenecks } from '../../../src/admission/path-bottlenecks.js';
+import { TargetPressure } from '../../../src/admission/target-pressure.js';
+import type { CallContext } from '../../../src/call/call-context.js';
+import { FirstHopRoom } from '../../../src/ingress/first-hop-room.js';
+import { noRoomDownstream } from '../../../src/ingress/ingress-rules.js';
 import { CongestionLevel } from '../../../src/admission/congestion-level.js';
 import { SlotLimiter } from '../../../src/admission/slot-limiter.js';
 import { TargetRateLimiter } from '../../../src/admission/target-rate-limiter.js';
@@ -59,6 +66,8 @@
   onAttempt(crossesZones: boolean): void;
   /** Returns the faults currently injected at the targets of a service. */
   targetFaults(service: string): TargetFaults;
+  /** Whether ingresses refuse requests that have no room at a service below. */
+  readonly firstHopRoom: boolean;
   readonly arrivals: ArrivalLedger;
   readonly slots: SlotAccount;
 }
@@ -77,6 +86,9 @@
   readonly retryAfterSeconds: number;
 }
 
+/** A request that was refused before anything of it was sent. */
+const NOT_SENT: Cancellable = { cancel: () => undefined };
+
 /** Receives the answer of a gate; `status` is 0 if no answer of the target was relayed. */
 type GateAnswerListener = (status: number, outcome: Outcome) => void;
 
@@ -96,6 +108,8 @@
   private readonly router: OutboundRouter;
   private readonly nestedRoutes = new NestedRoutes();
   private readonly clientWaits = new ClientWaitEstimator();
+  private bottlenecks: PathBottlenecks | undefined;
+  private readonly room: FirstHopRoom | undefined;
   private activeWork: SimTargetWork[] = [];
 
   constructor(
@@ -144,7 +158,10 @@
       downstream: this.downstream,
       retryBudget: this.retryBudget,
       repeatedRuns: this.repeatedRuns,
+      bottlenecks: (admission) => this.createBottlenecks(admission),
+      isFavoured: (bottleneck, importance) => this.room?.favours(bottleneck, importance) === true,
     });
+    if (world.firstHopRoom) this.room = new FirstHopRoom(clock, random);
     this.router = new OutboundRouter({
       clock,
       random,
@@ -153,6 +170,18 @@
     });
   }
 
+  private createBottlenecks(admission: AdmissionController): PathBottlenecks | undefined {
+    const { clock, firstHopRoom } = this.world;
+    if (!firstHopRoom) return undefined;
+    this.bottlenecks = new PathBottlenecks({
+      clock,
+      service: () => this.service.name,
+      pressure: new TargetPressure(clock, () => admission.status()),
+      shares: new NestedCallShares(clock),
+    });
+    return this.bottlenecks;
+  }
+
   /** Number of calls in progress at the target. */
   get running(): number {
     this.activeWork = this.activeWork.filter((work) => work.isRunning);
@@ -196,6 +225,8 @@
         : 0,
     };
     const context = createIngressContext(route, arrival);
+    if (this.nestedRoutes.has(route.name)) this.bottlenecks?.onNestedCall(route.name);
+    else if (this.refusesForRoom(route, context, done)) return NOT_SENT;
     const frame = (envelope: AttemptMetadata): CallFrameContext =>
       createFrameContext(context, envelope, clock.now());
     const transport = new SimPeerTransport(this.world, this.record, frame, lineage);
@@ -243,9 +274,27 @@
     return call;
   }
 
+  private refusesForRoom(
+    route: Route,
+    { importance, clientWaitedMs = 0 }: CallContext,
+    done: (answer: SimAnswer) => void,
+  ): boolean {
+    const request = { route: route.name, importance, clientWaitedMs };
+    const noRoom = this.room?.admit(request);
+    if (noRoom === undefined) return false;
+    const { refusal } = noRoomDownstream(noRoom);
+    const retryAfterSeconds = clientRetryAfterSeconds(
+      route.objectiveMs,
+      refusal,
+      this.world.random,
+    );
+    done({ status: refusalStatus(refusal), retryAfterSeconds });
+    return true;
+  }
+
   private recordResult(route: string, result: OutboundResult): void {
-    const { nestedRoutes, downstream, retryBudget } = this;
-    recordResult({ nestedRoutes, downstream, retryBudget }, route, result);
+    const { nestedRoutes, downstream, retryBudget, bottlenecks, room } = this;
+    recordResult({ nestedRoutes, downstream, retryBudget, bottlenecks, room }, route, result);
   }
 
   private answerOf(route: Route, result: OutboundResult, status: number): SimAnswer {
--- /dev/null
+++ b/src/admission/room-level.ts
@@ -0,0 +1,110 @@
+/**
+ * The part of the requests that lead to one bottleneck service which is admitted, over all ranks: the lowest rank is shut out
+ * first, and a higher one only once the lower ones are. The part is the inverse of the told ratio of demand to capacity.
+ */
+import type { Clock } from '../common/clock.js';
+import { IMPORTANCE_COUNT, type Importance } from '../policy/importance.js';
+
+/** Time constant of the average of what is told, in milliseconds, and the smallest weight of one answer. */
+const AVERAGING_MS = 50;
+const MIN_WEIGHT = 0.1;
+/** Part of a rank that is shut out which is still admitted as probes, so that answers keep telling the ratio. */
+const PROBE_PART = 0.02;
+/** Part below which a rank counts as shut out. */
+const SHUT_BELOW = 0.1;
+/**
+ * Time for which the lower ranks are shut out before a rank is, in milliseconds: what was admitted before still waits at the
+ * bottleneck for about that long. And the time in which the part of a rank falls from 1 to 0 at most.
+ */
+const EFFECT_MS = 1_500;
+const FALL_MS = 300;
+/** Admitted part below which ranks that are admitted in full are favoured. */
+const FAVOURS_BELOW = 0.95;
+/** Requests of a rank below which it counts as absent. */
+export const MIN_OFFERED = 0.5;
+/** Time without news after which the level opens, and the time constant with which the ratio then falls, in milliseconds. */
+const MAX_NEWS_AGE_MS = 1_500;
+const OPENING_MS = 1_000;
+
+/** Recent requests at this process, by importance. */
+export interface OfferedMix {
+  /** Number of those that are known to lead to the service. */
+  readonly offered: readonly number[];
+  /** Whether there are any, also of routes that are not known to lead there. */
+  readonly isPresent: readonly boolean[];
+}
+
+export class RoomLevel {
+  /** Ratio of demand to capacity, at least 1. */
+  private pressure = 1;
+  private toldAt: number;
+  private updatedAt: number;
+  /** Admitted part by importance, and when it was last above {@link SHUT_BELOW}. */
+  private readonly parts = new Array<number>(IMPORTANCE_COUNT).fill(1);
+  private readonly shutSince: number[];
+
+  constructor(private readonly clock: Clock) {
+    this.toldAt = clock.now();
+    this.updatedAt = this.toldAt;
+    this.shutSince = new Array<number>(IMPORTANCE_COUNT).fill(this.toldAt);
+  }
+
+  /** An answer told the ratio of demand to capacity; 1 if there is room for all. */
+  onPressure(told: number): void {
+    const before = this.currentPressure();
+    const now = this.clock.now();
+    const weight = Math.max(MIN_WEIGHT, 1 - Math.exp((this.toldAt - now) / AVERAGING_MS));
+    this.toldAt = now;
+    this.pressure = before + weight * (Math.max(1, told) - before);
+  }
+
+  /** Part of the offered requests that is admitted, over all ranks, 0 to 1. */
+  get admittedPart(): number {
+    return 1 / this.currentPressure();
+  }
+
+  /** Whether requests of lower ranks are refused in favour of those of one importance, none of which is refused. */
+  favours(importance: Importance): boolean {
+    return this.admittedPart < FAVOURS_BELOW && this.parts[importance]! >= 1;
+  }
+
+  /**
+   * Part of the requests of one importance that is admitted, 0 to 1.
+   */
+  admittedPartOf(importance: Importance, mix: OfferedMix): number {
+    this.update(mix);
+    return this.parts[importance]!;
+  }
+
+  /** Moves the parts of all ranks towards what the told ratio leaves for them. */
+  private update(mix: OfferedMix): void {
+    const { offered } = mix;
+    const now = this.clock.now();
+    const elapsedMs = now - this.updatedAt;
+    this.updatedAt = now;
+    let total = 0;
+    for (const each of offered) total += each;
+    let room = this.admittedPart * total;
+    let mayFall = true;
+    const falls: boolean[] = [];
+    for (let each = 0; each < IMPORTANCE_COUNT; each += 1) {
+      falls.push(mayFall);
+      mayFall &&= now - this.shutSince[each]! >= EFFECT_MS || !mix.isPresent[each];
+    }
+    for (let each = IMPORTANCE_COUNT - 1; each >= 0; each -= 1) {
+      const own = offered[each]!;
+      const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(1, own)));
+      room -= own;
+      const lowest = falls[each] ? this.parts[each]! - elapsedMs / FALL_MS : this.parts[each]!;
+      this.parts[each] = Math.max(wanted, lowest);
+      if (this.parts[each]! > SHUT_BELOW && own >= MIN_OFFERED) this.shutSince[each] = now;
+    }
+  }
+
+  private currentPressure(): number {
+    const silentMs = this.clock.now() - this.toldAt - MAX_NEWS_AGE_MS;
+    return silentMs <= 0
+      ? this.pressure
+      : 1 + (this.pressure - 1) * Math.exp(-silentMs / OPENING_MS);
+  }
+}
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -7,7 +7,7 @@
 import { RunResult } from '../admission/kind-circuit-breaker.js';
 import { HttpStatus } from '../common/http-status.js';
 import type { CallContext } from '../call/call-context.js';
-import type { KindPace } from '../call/outcome.js';
+import type { Bottleneck, KindPace } from '../call/outcome.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import type { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { CallHooks } from './call-hooks.js';
@@ -78,7 +78,8 @@
   }
 
   acquireKindLimit(): KindRefusal | undefined {
-    return this.kindLimit.acquire(this.options.isPresumedNested ?? this.isNested);
+    const isExempt = (this.options.isPresumedNested ?? this.isNested) || this.isFavoured();
+    return this.kindLimit.acquire(isExempt);
   }
 
   tryAcquireRetryBudget(): boolean {
@@ -99,6 +100,7 @@
     this.retryBudget.onDispatch();
     this.arrivedAt = this.services.clock.now();
     this.services.runOutcomes.onStart(this.context.kind);
+    this.services.bottlenecks?.onStart(this.context.kind);
     return this.services.crashGuard.begin(this.context.fingerprint ?? '');
   }
 
@@ -142,13 +144,25 @@
     return reportedCongestion(this.services, this.context.kind, this.isNested, queueLevel);
   }
 
+  bottleneck(): Bottleneck | undefined {
+    return this.services.bottlenecks?.bottleneckOf(this.context.kind);
+  }
+
+  /** Whether the first hops refuse lower ranks in favour of this call: the limit by kind would refuse it as well. */
+  private isFavoured(): boolean {
+    const { isFavoured } = this.services;
+    const bottleneck = isFavoured && this.bottleneck();
+    return bottleneck !== undefined && isFavoured!(bottleneck.service, this.context.importance);
+  }
+
   /** Records once how the run in the target ended. */
   private endRun(result: RunResult): void {
     if (this.arrivedAt === undefined) return;
-    const { runOutcomes, kindPace, clock } = this.services;
+    const { runOutcomes, kindPace, bottlenecks, clock } = this.services;
     const { kind } = this.context;
     const durationMs = clock.now() - this.arrivedAt;
     this.arrivedAt = undefined;
+    bottlenecks?.onEnd(kind);
     runOutcomes.onEnd(kind, result, durationMs);
     if (result === RunResult.Answered) kindPace.onAnswered(kind, durationMs);
     if (result === RunResult.GivenUp) kindPace.onGivenUp(kind, durationMs);
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -23,6 +23,7 @@
     repeatedRuns,
     crashGuard,
     instancePool,
+    roomParts,
   } = parts;
   const durations = new CallDurations();
   return new GateServer({
@@ -43,6 +44,8 @@
       retryBudget,
       repeatedRuns,
       crashGuard,
+      bottlenecks: roomParts?.bottlenecks,
+      isFavoured: (service, importance) => roomParts?.room.favours(service, importance) === true,
     },
     transport: {
       clock,
--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -5,6 +5,9 @@
  */
 import { AdmissionController } from '../admission/admission-controller.js';
 import { CongestionLevel } from '../admission/congestion-level.js';
+import { NestedCallShares } from '../admission/nested-call-shares.js';
+import { PathBottlenecks } from '../admission/path-bottlenecks.js';
+import { TargetPressure } from '../admission/target-pressure.js';
 import { TargetRateLimiter } from '../admission/target-rate-limiter.js';
 import { SlotLimiter } from '../admission/slot-limiter.js';
 import { CallStats } from '../call/call-stats.js';
@@ -20,6 +23,7 @@
 import { UnservedRuns } from '../gate/unserved-runs.js';
 import { TargetLoadTracker } from '../gate/target-load-tracker.js';
 import type { TargetHeaders } from '../http/target-headers.js';
+import { FirstHopRoom } from '../ingress/first-hop-room.js';
 import { LinkPool } from '../link/link-pool.js';
 import { TargetAnnouncements } from '../membership/target-announcements.js';
 import { TargetConnectionPool } from '../membership/target-connection-pool.js';
@@ -102,11 +106,20 @@
   readonly quota: IngressQuota;
 }
 
+/** Room at the services on the path of requests. */
+interface RoomParts {
+  readonly pressure: TargetPressure;
+  readonly bottlenecks: PathBottlenecks;
+  readonly room: FirstHopRoom;
+}
+
 /** State shared by gate and ingress: the calls that the target makes leave through the ingress. */
 interface GateAndIngressParts {
   /** Congestion of the calls that the target makes. */
   readonly downstream: CongestionLevel;
   readonly repeatedRuns: RepeatedRuns;
+  /** Undefined if requests are not refused for want of room downstream. */
+  readonly roomParts: RoomParts | undefined;
 }
 
 /** The connection to control and the current configuration. */
@@ -141,14 +154,16 @@
     stopProgress: new StopProgress(clock),
   };
   const targetParts = createTargetParts(base, getParts);
+  const gateParts = createGateParts(base, targetParts.rateLimiter, getParts);
   const parts: SidecarParts = {
     ...base,
     ...createObservability(base),
     ...targetParts,
-    ...createGateParts(base, targetParts.rateLimiter, getParts),
+    ...gateParts,
     ...createIngressParts(base, getParts),
     downstream: new CongestionLevel(clock),
     repeatedRuns: new RepeatedRuns(),
+    roomParts: createRoomParts(base, gateParts.admission, targetParts.lease),
     ...createControlLink(base, getParts),
   };
   return parts;
@@ -246,6 +261,31 @@
   };
 }
 
+function createRoomParts(
+  { clock, random, settings, logger }: ProcessParts,
+  admission: AdmissionController,
+  lease: TargetLease,
+): RoomParts | undefined {
+  if (!settings.firstHopRoom) return undefined;
+  const pressure = new TargetPressure(clock, () => admission.status());
+  const log = logger.part('request');
+  return {
+    pressure,
+    bottlenecks: new PathBottlenecks({
+      clock,
+      service: () => lease.current?.service,
+      pressure,
+      shares: new NestedCallShares(clock),
+    }),
+    room: new FirstHopRoom(clock, random, (change) => {
+      const { service, isRefusing, admittedPart, pressure } = change;
+      const fields = { service, admittedPart, pressure };
+      if (isRefusing) log.info('A service has no room for all requests that lead to it.', fields);
+      else log.info('A service has room again for all requests that lead to it.', fields);
+    }),
+  };
+}
+
 function createControlLink(base: ProcessParts, getParts: PartsGetter): ControlLinkParts {
   const { settings, logger, onConfiguration } = base;
   const follower = createProcessFollower(base, {
