--- a/lab/simulator/quota/quota-checker.ts
+++ b/lab/simulator/quota/quota-checker.ts
@@ -43,6 +43,10 @@
     this.rates.push({ rate, at: now });
   }
 
+  get offeredCount(): number {
+    return this.offered;
+  }
+
   onOffered(): void {
     this.offered += 1;
   }
--- a/lab/simulator/quota/quota-strategies.ts
+++ b/lab/simulator/quota/quota-strategies.ts
@@ -3,9 +3,9 @@
  * requirement, which shows that the tests detect violations.
  */
 import type { Clock } from '../../../src/common/clock.js';
-import type { Group } from '../../../src/policy/group-table.js';
+import type { HeatEvent } from '../../../src/quota/heat-recorder.js';
 import { IngressQuota } from '../../../src/quota/ingress-quota.js';
-import type { PermitCallback } from '../../../src/quota/ingress-quota.js';
+import type { PermitCallback, PermitRequest } from '../../../src/quota/ingress-quota.js';
 import { QuotaLedger, type QuotaLedgerOptions } from '../../../src/quota/quota-ledger.js';
 import type { QuotaGrants, QuotaReport } from '../../../src/quota/quota-messages.js';
 import { SlidingWindowCounter } from '../../../src/common/sliding-window-counter.js';
@@ -14,7 +14,7 @@
 
 /** The part of a strategy that runs at an ingress. */
 export interface IngressSide {
-  acquire(group: Group, maxWaitMs: number, listener: PermitCallback): void;
+  acquire(request: PermitRequest, listener: PermitCallback): void;
   report(): QuotaReport;
   onGrants(grants: QuotaGrants, askedAt: number): void;
 }
@@ -33,6 +33,7 @@
   readonly ingresses: number;
   readonly limitOf: (group: string) => number | undefined;
   readonly onGrantNeeded: () => void;
+  readonly onHeat?: (event: HeatEvent) => void;
 }
 
 /** Creates both sides of a strategy. */
@@ -50,7 +51,7 @@
 
   constructor(protected readonly options: IngressSideOptions) {}
 
-  acquire({ name }: Group, _maxWaitMs: number, listener: PermitCallback): void {
+  acquire({ group: { name } }: PermitRequest, listener: PermitCallback): void {
     const now = this.options.clock.now();
     this.countOf(this.offered, name).add(now);
     const used = this.countOf(this.used, name);
--- a/lab/simulator/quota/quota-world.ts
+++ b/lab/simulator/quota/quota-world.ts
@@ -6,6 +6,7 @@
 import { sampleExponential, SeededRandom } from '../../../src/common/random.js';
 import { VirtualClock } from '../../../src/common/virtual-clock.js';
 import type { Group, GroupRate } from '../../../src/policy/group-table.js';
+import { IMPORTANCE_COUNT, type Importance } from '../../../src/policy/importance.js';
 import { grantableInWindow, type QuotaRule } from '../../../src/quota/quota-rule.js';
 import { QuotaChecker, type QuotaFindings } from './quota-checker.js';
 import {
@@ -218,7 +219,9 @@
   private send({ group, checker, ingressIndexes }: SimGroup): void {
     const ingress = this.ingresses[ingressIndexes[this.random.nextInt(ingressIndexes.length)]!]!;
     checker.onOffered();
-    ingress.side.acquire(group, MAX_WAIT_MS, (permit) => {
+    // Not drawn, so that the other draws of a seed don't depend on it.
+    const importance = (checker.offeredCount % IMPORTANCE_COUNT) as Importance;
+    ingress.side.acquire({ group, importance, maxWaitMs: MAX_WAIT_MS }, (permit) => {
       const now = this.clock.now();
       if (permit === undefined) checker.onRefused(now);
       else if (this.random.next() < NOT_RUN_PROBABILITY) this.deliverLater(() => permit.release());
--- a/src/common/sliding-window-counter.ts
+++ b/src/common/sliding-window-counter.ts
@@ -54,6 +54,29 @@
     return (oldest + BUCKET_COUNT) * this.stepMs - now;
   }
 
+  /** Returns the events per millisecond in the last `durationMs`, rounded to steps. */
+  recentRate(durationMs: number, now: number): number {
+    this.advance(now);
+    const steps = Math.max(1, Math.floor(durationMs / this.stepMs));
+    let events = 0;
+    for (let age = 0; age <= steps; age += 1) events += this.buckets[bucketIndex(this.step - age)]!;
+    return events / (now - (this.step - steps) * this.stepMs);
+  }
+
+  /** Returns the number of events that leave the window within `durationMs`. */
+  expiringWithin(durationMs: number, now: number): number {
+    this.advance(now);
+    const lastStep = Math.min(
+      this.step,
+      Math.floor((now + durationMs) / this.stepMs) - BUCKET_COUNT,
+    );
+    let expiring = 0;
+    for (let step = this.step - STEPS_PER_WINDOW; step <= lastStep; step += 1) {
+      expiring += this.buckets[bucketIndex(step)]!;
+    }
+    return expiring;
+  }
+
   private addToBucket(step: number, amount: number): void {
     this.buckets[bucketIndex(step)]! += amount;
     this.sum += amount;
--- a/src/ingress/ingress-exchange.ts
+++ b/src/ingress/ingress-exchange.ts
@@ -169,14 +169,15 @@
 
   private acquirePermit(group: Group, maxWaitMs: number, body: RequestBody): void {
     const { quota } = this.options;
-    quota.acquire(group, maxWaitMs, (permit) => {
+    const { importance } = this.context;
+    quota.acquire({ group, importance, maxWaitMs }, (permit) => {
       if (this.hasEnded || this.response.headersSent) {
         permit?.release();
         return;
       }
       this.permit = permit;
-      if (permit === undefined) this.refuse(rateLimited(group, quota.state(group.name)).refusal);
-      else this.send(body);
+      if (permit !== undefined) this.send(body);
+      else this.refuse(rateLimited(group, quota.state(group.name, importance)).refusal);
     });
   }
 
--- a/src/quota/commitments.ts
+++ b/src/quota/commitments.ts
@@ -20,6 +20,8 @@
   /** The part of `committed` that belongs to ingresses which started without any grant. */
   readonly committedToFresh: number;
   readonly offered: number;
+  /** What is offered if the demand of the last second lasts. */
+  readonly projected: number;
 }
 
 /** Upper bound on the requests that the ingress may run in a window. */
@@ -49,15 +51,19 @@
 
   /** @param isFresh whether the ingress started without any grant */
   add(commitment: Commitment, isFresh: boolean): void {
-    const { group, offered } = commitment.use;
+    const { group, offered, projected = offered } = commitment.use;
     this.commit(group, committedOf(commitment), isFresh);
-    this.sums(group).offered += offered;
+    const sums = this.sums(group);
+    sums.offered += offered;
+    sums.projected += projected;
   }
 
   remove(commitment: Commitment, isFresh: boolean): void {
-    const { group, offered } = commitment.use;
+    const { group, offered, projected = offered } = commitment.use;
     this.commit(group, -committedOf(commitment), isFresh);
-    this.sums(group).offered -= offered;
+    const sums = this.sums(group);
+    sums.offered -= offered;
+    sums.projected -= projected;
   }
 
   /** Adds to the committed requests of a group; a negative amount subtracts. */
@@ -68,7 +74,12 @@
   }
 
   private sums(group: string): { -readonly [Sum in keyof GroupTotals]: number } {
-    const sums = this.totals.get(group) ?? { committed: 0, committedToFresh: 0, offered: 0 };
+    const sums = this.totals.get(group) ?? {
+      committed: 0,
+      committedToFresh: 0,
+      offered: 0,
+      projected: 0,
+    };
     this.totals.set(group, sums);
     return sums;
   }
--- a/src/quota/grant-rule.ts
+++ b/src/quota/grant-rule.ts
@@ -3,7 +3,7 @@
  * amounts are requests per window. docs/design/shifted-work.md describes the algorithm.
  */
 import { committedOf, type Commitment, type GroupTotals } from './commitments.js';
-import { QUOTA_LEASE_MS, type GroupUse } from './quota-messages.js';
+import { PROJECTED_MS, QUOTA_LEASE_MS, type GroupUse } from './quota-messages.js';
 
 /** Minimum spare on top of the offered requests, so that demand may rise before the next report. */
 const MIN_SPARE = 1;
@@ -17,16 +17,23 @@
 /** Fraction of the limit that is divided under overload. The rest is reserved for ingresses whose demand starts later. */
 const OVERLOAD_GRANTED_FRACTION = 0.95;
 
+/** Standard deviations of a random arrival count that a projected demand must exceed the limit by. */
+const PROJECTION_DEVIATIONS = 2;
+
+/** The limit of a group. */
+export interface LimitInputs {
+  /** Requests per window that may be granted to all ingresses together. */
+  readonly limit: number;
+  /** Length of the window, in milliseconds. */
+  readonly windowMs: number;
+}
+
 /** The inputs of {@link allowanceOf}. */
-export interface GrantInputs {
+export interface GrantInputs extends LimitInputs {
   /** The current commitment for the group at the ingress. */
   readonly commitment: Commitment;
   /** The totals of the group, including this ingress. */
   readonly totals: GroupTotals;
-  /** Requests per window that may be granted to all ingresses together. */
-  readonly limit: number;
-  /** Length of the window, in milliseconds. */
-  readonly windowMs: number;
   /** Time since this replica began to record grants, in milliseconds. */
   readonly knownForMs: number;
   /** Whether the ingress started without any grant. */
@@ -46,6 +53,17 @@
   return Math.floor(Math.min(most, desiredAllowance(commitment.use, totals.offered, limit)));
 }
 
+/**
+ * Whether a group asks for more than its limit over all ingresses. Projected from the last second, since the requests of a
+ * whole window exceed the limit only when its permits are spent already.
+ */
+export function isBeyondLimit({ offered, projected }: GroupTotals, inputs: LimitInputs): boolean {
+  const { limit, windowMs } = inputs;
+  const deviation = Math.sqrt(Math.max(0, projected) * (windowMs / PROJECTED_MS));
+  const demand = Math.max(offered, projected - PROJECTION_DEVIATIONS * deviation);
+  return demand > OVERLOAD_RATIO * limit;
+}
+
 /**
  * Upper bound of a grant while grants of an earlier leader may still be valid but unknown here, for example those of a
  * partitioned ingress. Until these have expired, an ingress keeps at most what it holds, so that the quota isn't exceeded.
@@ -63,16 +81,20 @@
 
 /**
  * Returns the allowance that an ingress should have. Up to the overload ratio: its offered requests plus a spare that
- * shrinks as total demand approaches the limit. Above: a share of the limit in proportion to its offered requests.
+ * shrinks as total demand approaches the limit. Above: a share of the limit in proportion to its offered requests, and what
+ * its urgent requests lack: they are few, and where they arrive varies more than the shares do.
  */
 function desiredAllowance(
-  { offered, used }: GroupUse,
+  { offered, used, waiting = 0 }: GroupUse,
   offeredToAll: number,
   limit: number,
 ): number {
   if (offered === 0 && used === 0) return 0;
   const part = offered / Math.max(1, offeredToAll);
-  if (offeredToAll > OVERLOAD_RATIO * limit) return limit * OVERLOAD_GRANTED_FRACTION * part;
+  if (offeredToAll > OVERLOAD_RATIO * limit) {
+    const share = limit * OVERLOAD_GRANTED_FRACTION * part;
+    return waiting > 0 ? Math.max(share, used + waiting) : share;
+  }
   const left = Math.max(0, limit - offeredToAll);
   const spare = (left / limit) * left * part;
   return offered + Math.max(MIN_SPARE, Math.min(spare, offered + START_SPARE));
--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -1,10 +1,15 @@
 /**
  * The permits of one group at one ingress: limits the requests that run in a sliding window to the number that control has
- * granted. Requests above it are refused as `rate-limited`.
+ * granted. Requests above it are refused as `rate-limited`. While the group is hot, its permits are paced.
  */
 import { rateLimitedSeconds } from '../call/retry-after.js';
 import { SlidingWindowCounter } from '../common/sliding-window-counter.js';
-import type { GroupUse } from './quota-messages.js';
+import type { Importance } from '../policy/importance.js';
+import { GroupHeat, isRising, type WindowDemand } from './group-heat.js';
+import { KindDemand } from './kind-demand.js';
+import { PACE_HORIZON_MS, PermitPacing, type PermitSupply } from './permit-pacing.js';
+import { PROJECTED_MS, type GroupGrant, type GroupUse } from './quota-messages.js';
+import { ReturnTimes } from './return-times.js';
 
 /** Permission to run one request within the quota of its group. */
 export interface QuotaPermit {
@@ -32,35 +37,71 @@
   private allowance = 0;
   /** Monotonic milliseconds. */
   private validUntil = -Infinity;
+  /** Whether control has said with the latest grant that the group asks for more than its limit. */
+  private isLimited = false;
   /** Requests that have run or may have run. */
   private readonly used: SlidingWindowCounter;
   /** All requests, including refused ones. */
   private readonly offered: SlidingWindowCounter;
+  private readonly countedMs: number;
+  private readonly heat = new GroupHeat();
+  private readonly demand: KindDemand;
+  private readonly pacing: PermitPacing;
+  private readonly returns = new ReturnTimes();
 
   /** @param windowMs length of the window in milliseconds */
-  constructor(windowMs: number) {
-    this.used = new SlidingWindowCounter(windowMs * (1 + WINDOW_MARGIN));
-    this.offered = new SlidingWindowCounter(windowMs * (1 + WINDOW_MARGIN));
+  constructor(private readonly windowMs: number) {
+    this.countedMs = windowMs * (1 + WINDOW_MARGIN);
+    this.used = new SlidingWindowCounter(this.countedMs);
+    this.offered = new SlidingWindowCounter(this.countedMs);
+    this.demand = new KindDemand();
+    this.pacing = new PermitPacing(this.demand, this.countedMs);
+  }
+
+  /** Whether the group asks for more than its limit, and for more than its allowance here. */
+  get isHot(): boolean {
+    return this.heat.since !== undefined;
   }
 
   /**
    * Applies a grant.
    * @param validUntil when the grant expires, in monotonic milliseconds
    */
-  onGrant(allowance: number, validUntil: number): void {
+  onGrant({ allowance, isLimited = false }: GroupGrant, validUntil: number, now: number): void {
     this.allowance = allowance;
+    this.isLimited = isLimited;
     this.validUntil = validUntil;
+    this.updateHeat(now);
   }
 
   /** Counts an incoming request of the group. */
-  onOffered(now: number): void {
+  onOffered(importance: Importance, now: number): void {
     this.offered.add(now);
+    this.demand.onOffered(importance, now);
+    this.updateHeat(now);
+  }
+
+  /** Decides anew whether the group is hot, also when no request arrives. */
+  updateHeat(now: number): void {
+    const before = this.heat.since;
+    this.heat.update(this.windowDemand(now), now);
+    if (before === undefined && this.heat.since !== undefined) {
+      this.pacing.start(this.supply(now), now);
+    }
   }
 
-  /** Acquires a permit; undefined if the allowance for the window is used up. */
-  tryAcquire(now: () => number): QuotaPermit | undefined {
+  /** Whether the demand has risen so much that control should hear of it before the allowance is used up. */
+  isRising(now: number): boolean {
+    return !this.isLimited && isRising(this.windowDemand(now));
+  }
+
+  /** Acquires a permit; undefined if the kind may have none now. */
+  tryAcquire(importance: Importance, now: () => number): QuotaPermit | undefined {
     const takenAt = now();
-    if (this.used.total(takenAt) + 1 > this.allowed(takenAt)) return undefined;
+    const supply = this.supply(takenAt);
+    if (supply.free < 1) return undefined;
+    const isPaced = this.isHot;
+    if (isPaced && !this.pacing.tryTake(importance, supply, takenAt)) return undefined;
     const step = this.used.add(takenAt);
     let isTaken = true;
     return {
@@ -71,22 +112,56 @@
     };
   }
 
+  /** Whether a hot group gets permits fast enough for all requests of this kind. */
+  suffices(importance: Importance, now: number): boolean {
+    return this.pacing.suffices(importance, this.supply(now), now);
+  }
+
+  /** Time until a request of this kind may obtain a permit of a hot group, in milliseconds. */
+  msToPermit(importance: Importance, now: number): number {
+    const supply = this.supply(now);
+    const msToFree = supply.free < 1 ? this.used.msToNextExpiry(now) : 0;
+    return Math.max(msToFree, this.pacing.msToPermit(importance, supply, now));
+  }
+
   /** The usage of the group, for the report to control. */
   use(group: string, now: number): GroupUse {
     const used = this.used.total(now);
     const offered = this.offered.total(now);
-    return { group, used, offered, held: this.allowed(now) };
+    const { allowance: held, projected } = this.windowDemand(now);
+    return { group, used, offered, held, projected: Math.round(projected) };
   }
 
-  state(now: number): QuotaState {
+  /** The state for a refused request of this kind. */
+  state(importance: Importance, now: number): QuotaState {
     const used = this.used.total(now);
     const isGranted = this.validUntil > now;
-    const description = isGranted
-      ? `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`
-      : NOTHING_GRANTED.description;
-    const hasPermits = isGranted && this.allowance >= 1;
-    const msToNextPermit = hasPermits ? this.used.msToNextExpiry(now) : undefined;
-    return { description, retryAfterSeconds: rateLimitedSeconds(msToNextPermit) };
+    if (!isGranted) return NOTHING_GRANTED;
+    const description = `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`;
+    return { description, retryAfterSeconds: this.retryAfterSeconds(importance, now) };
+  }
+
+  private retryAfterSeconds(importance: Importance, now: number): number {
+    if (this.allowance < 1) return rateLimitedSeconds(undefined);
+    if (!this.isHot) return rateLimitedSeconds(this.used.msToNextExpiry(now));
+    // Requests that arrive meanwhile take all that the kind gets, so only the end of the surplus helps.
+    const earliestMs = this.suffices(importance, now)
+      ? this.msToPermit(importance, now)
+      : this.windowMs;
+    const spacingMs = this.windowMs / this.allowance;
+    return rateLimitedSeconds(this.returns.next(importance, { earliestMs, spacingMs }, now));
+  }
+
+  private windowDemand(now: number): WindowDemand {
+    const { isLimited, countedMs: windowMs } = this;
+    const projected = this.offered.recentRate(PROJECTED_MS, now) * windowMs;
+    return { allowance: this.allowed(now), projected, windowMs, isLimited };
+  }
+
+  private supply(now: number): PermitSupply {
+    const allowance = this.allowed(now);
+    const free = Math.max(0, allowance - this.used.total(now));
+    return { allowance, free, returning: this.used.expiringWithin(PACE_HORIZON_MS, now) };
   }
 
   private allowed(now: number): number {
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -5,7 +5,7 @@
  *
  * Every replica receives all reports, so that a new leader knows the grants of the previous one; only the leader answers.
  */
-import { allowanceOf } from './grant-rule.js';
+import { allowanceOf, isBeyondLimit } from './grant-rule.js';
 import { committedOf, CommitmentTotals, unconfirmed, type Commitment } from './commitments.js';
 import {
   QUOTA_LEASE_MS,
@@ -116,16 +116,18 @@
     for (const [group, commitment] of entry.commitments) {
       const limit = this.options.limitOf(group);
       if (limit === undefined) continue;
+      const totals = this.totals.of(group);
       const allowance = allowanceOf({
         commitment,
-        totals: this.totals.of(group),
+        totals,
         limit,
         windowMs: this.options.windowMs,
         knownForMs: now - this.startedAt,
         isFresh: entry.isFresh,
         freshPart: () => this.freshPart(),
       });
-      grants.push({ group, allowance });
+      const isLimited = isBeyondLimit(totals, { limit, windowMs: this.options.windowMs });
+      grants.push(isLimited ? { group, allowance, isLimited } : { group, allowance });
       this.onGranted(entry, commitment, allowance);
     }
     return grants;
--- a/src/quota/quota-messages.ts
+++ b/src/quota/quota-messages.ts
@@ -12,6 +12,13 @@
   readonly offered: number;
   /** Requests per window that the ingress may currently run. */
   readonly held: number;
+  /** Requests of the last second, projected to a window. Absent in reports of older processes. */
+  readonly projected?: number | undefined;
+  /**
+   * Requests that wait although the group is at its limit, which only its most urgent kinds do. Absent if there are none, and
+   * in reports of older processes.
+   */
+  readonly waiting?: number | undefined;
 }
 
 /** The quota report of an ingress, sent with each heartbeat. */
@@ -31,6 +38,8 @@
 export interface GroupGrant {
   readonly group: string;
   readonly allowance: number;
+  /** Whether all ingresses together ask for more than the group's limit. Absent if not, and in answers of older processes. */
+  readonly isLimited?: boolean | undefined;
 }
 
 /** The answer of a leader to a report. Valid for {@link QUOTA_LEASE_MS} from when the report was sent. */
@@ -46,3 +55,6 @@
  * share of a failed ingress would stay unused for longer.
  */
 export const QUOTA_LEASE_MS = 4_500;
+
+/** Time in milliseconds whose requests are projected to a window. */
+export const PROJECTED_MS = 1_000;
