--- a/src/programs/sidecar-parts.ts
+++ b/src/programs/sidecar-parts.ts
@@ -38,6 +38,7 @@
   tableOf,
 } from './follower-setup.js';
 import { createProcessClock } from './clock-logger.js';
+import { logHeat } from './heat-logger.js';
 import { processRandom } from './process-random.js';
 import { SidecarTarget } from './sidecar-target.js';
 
@@ -215,6 +216,7 @@
 
 function createIngressParts(base: ProcessParts, getParts: PartsGetter): IngressParts {
   const { clock, random, settings, startedAt } = base;
+  const quotaLogger = base.logger.part('quota');
   return {
     split: new WeightedSplit(random),
     // No slow start: the router already prefers less loaded targets, so a cold one gets fewer calls.
@@ -225,6 +227,7 @@
       startedAt,
       windowMs: settings.quota.windowMs,
       onGrantNeeded: () => getParts().follower.sendHeartbeatToLeader(),
+      onHeat: (event) => logHeat(quotaLogger, event),
     }),
   };
 }
--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -10,6 +10,7 @@
 import { createNodeMetrics } from '../observe/node-metrics.js';
 import { registerQuarantineMetrics } from '../observe/quarantine-metrics.js';
 import { registerRateLimitMetrics } from '../observe/rate-limit-metrics.js';
+import { registerQuotaMetrics } from '../observe/quota-metrics.js';
 import { registerRetryMetrics } from '../observe/retry-metrics.js';
 import { followerReadiness, tableOf } from './follower-setup.js';
 import { createGate } from './sidecar-gate.js';
@@ -72,9 +73,11 @@
     retryBudget,
     crashGuard,
     announcements,
+    quota,
   } = parts;
   const registry = createNodeMetrics(inboundStats, outboundStats, admission, follower);
   registerRetryMetrics(registry, retryBudget);
+  registerQuotaMetrics(registry, () => quota.heatCounts());
   registerRateLimitMetrics(registry, () => announcements.rateLimitPerSecond);
   registerQuarantineMetrics(registry, {
     crashes: () => crashGuard.crashes,
--- a/src/retry/repeat-demand.ts
+++ b/src/retry/repeat-demand.ts
@@ -9,8 +9,8 @@
 /** Fraction of the window over which the rate of asked repeats is averaged, and after which nothing is kept for a level. */
 const AVERAGED_FRACTION = 0.2;
 
-/** The counters count an event for up to a twentieth of the window too long, which the expected repeats have to cover. */
-const COUNTED_WINDOWS = 1.05;
+/** Windows of expected repeats that are kept: the counters count an event for too long by up to a twentieth of the window. */
+const COUNTED_WINDOWS = 1.1;
 
 interface LevelCounters {
   readonly asked: SlidingWindowCounter;
--- a/test/golden/follower-pins.ts
+++ b/test/golden/follower-pins.ts
@@ -60,6 +60,17 @@
     name: 'heartbeat of an earlier incarnation',
     message: { ...FULL_HEARTBEAT, incarnation: 5, crashNews: undefined, quota: undefined },
   },
+  {
+    name: 'heartbeat, a group at its limit',
+    message: {
+      ...FULL_HEARTBEAT,
+      crashNews: undefined,
+      quota: {
+        ...FULL_HEARTBEAT.quota,
+        uses: [{ group: 'gold', used: 40, offered: 90, held: 40, projected: 200, waiting: 2 }],
+      },
+    },
+  },
 ];
 
 type OkReply = Extract<HeartbeatReply, { type: 'ok' }>;
@@ -85,6 +96,13 @@
     message: { type: 'ok', revision: 0, isCurrent: false },
   },
   { name: 'heartbeat reply, superseded', message: { type: 'superseded' } },
+  {
+    name: 'heartbeat reply, a group at its limit',
+    message: {
+      ...FULL_REPLY,
+      quota: { sequence: 12, grants: [{ group: 'gold', allowance: 40, isLimited: true }] },
+    },
+  },
 ];
 
 export const FULL_SYNC_REQUEST: Required<SyncRequest> = {
