--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -11,6 +11,7 @@
 import { registerQuarantineMetrics } from '../observe/quarantine-metrics.js';
 import { registerRoomMetrics } from '../observe/room-metrics.js';
 import { registerRateLimitMetrics } from '../observe/rate-limit-metrics.js';
+import { registerQuotaMetrics } from '../observe/quota-metrics.js';
 import { registerRetryMetrics } from '../observe/retry-metrics.js';
 import { followerReadiness, tableOf } from './follower-setup.js';
 import { registerTargetLoadMetrics } from '../observe/target-load-metrics.js';
@@ -76,9 +77,11 @@
     announcements,
     targetLoad,
     roomParts,
+    quota,
   } = parts;
   const registry = createNodeMetrics(inboundStats, outboundStats, admission, follower);
   registerRetryMetrics(registry, retryBudget);
+  registerQuotaMetrics(registry, () => quota.heatCounts());
   registerRateLimitMetrics(registry, () => announcements.rateLimitPerSecond);
   registerTargetLoadMetrics(registry, () => targetLoad.current);
   registerQuarantineMetrics(registry, {
