--- a/lab/simulator/sidecars/uneven-targets-graph.ts
+++ b/lab/simulator/sidecars/uneven-targets-graph.ts
@@ -6,9 +6,9 @@
 
 const NO_CALLS = [] as const;
 /** Targets of some services work more slowly for moments, as in shared machines. */
-const BURSTS = { part: 0.15, meanMs: 600, factor: 2.5 };
+export const BURSTS = { part: 0.15, meanMs: 600, factor: 2.5 };
 /** A few runs take much longer than usual, at any target. */
-const LONG_RUNS = { part: 0.03, factor: 7 };
+export const LONG_RUNS = { part: 0.03, factor: 7 };
 
 export const UNEVEN_TARGETS_GRAPH: CallGraph = {
   zones: 3,
--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -30,6 +30,8 @@
   | 'rate-limited'
   /** The target, or each target of the service, has reached the rate limit that it announces. */
   | 'target-rate-limit'
+  /** The target is slowed down; only for calls whose callers have another target. */
+  | 'target-slowed'
   /** The request is in quarantine because targets crash when they run it. */
   | 'quarantined';
 
@@ -77,6 +79,7 @@
     status: HttpStatus.ServiceUnavailable,
     title: 'Rate limit of the target reached',
   },
+  'target-slowed': { status: HttpStatus.ServiceUnavailable, title: 'Target slowed down' },
   quarantined: { status: HttpStatus.ServiceUnavailable, title: 'Request kept from targets' },
 };
 
--- a/src/gate/gate-refusals.ts
+++ b/src/gate/gate-refusals.ts
@@ -41,7 +41,7 @@
 /** The target is slowed down, and the caller has another one for a call that may run only once. */
 export function slowedTargetRefusal(): GateRefusal {
   return retryableRefusal(
-    'unavailable',
+    'target-slowed',
     'not-run',
     'The target is slowed down and another one can run the call.',
   );
--- a/src/gate/long-run-check.ts
+++ b/src/gate/long-run-check.ts
@@ -17,12 +17,7 @@
 }
 
 /** Whether a long run of the call fits the time that it has left, or the call has to be sent to this target anyway. */
-export function mayRunNow({
-  isReroutable,
-  remainingMs,
-  pace,
-  slowedRatio,
-}: LongRunState): boolean {
+export function mayRunNow({ isReroutable, remainingMs, pace, slowedRatio }: LongRunState): boolean {
   if (!isReroutable || pace === undefined || slowedRatio === undefined) return true;
   return pace.longMs * slowedRatio <= remainingMs;
 }
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -13,7 +13,16 @@
 /** Creates the gate, which admits calls from other machines to the target. */
 export function createGate(parts: SidecarParts): GateServer {
   const { clock, admission, lease, journal, stopProgress, settings, headers } = parts;
-  const { kindPace, targetLoad, queueLevels, downstream, retryBudget, repeatedRuns, crashGuard, instancePool } = parts;
+  const {
+    kindPace,
+    targetLoad,
+    queueLevels,
+    downstream,
+    retryBudget,
+    repeatedRuns,
+    crashGuard,
+    instancePool,
+  } = parts;
   const durations = new CallDurations();
   return new GateServer({
     services: {
--- a/src/routing/expected-duration.ts
+++ b/src/routing/expected-duration.ts
@@ -2,7 +2,7 @@
  * Restricts the candidates for a call that can't be protected in another way to the targets where it is expected to be
  * answered before its deadline. Targets of one service differ in speed, and a few runs take many times as long as usual: at a
  * slow target these exceed the timeout of the route, at a fast one they fit. Does nothing unless a target is known to be too
- * slow for the call. Asked for each attempt, before the choice among the candidates (target-choice.ts).
+ * slow for the call, and few runs are long: if all are, because of load, the present choice by load is better. Asked for each attempt, before the choice among the candidates (target-choice.ts).
  *
  * - A call fits a target if a long run there takes no longer than the time that the call has left. The duration of a long run
  *   is the usual one at the target times a ratio that is the same for all targets: the longest run of a single target varies
@@ -33,6 +33,12 @@
 /** Quantile, over the targets, of the ratio of long to usual durations: not raised by a few targets in trouble. */
 const LONG_RUN_QUANTILE = 0.75;
 
+/**
+ * Ratio of long to usual durations from which targets are selected. Below it, all runs take about as long, and the targets
+ * differ mainly by the load of the services that they call: the shortest duration would gather the calls at a few targets.
+ */
+const MIN_LONG_RUN_RATIO = 2;
+
 /** A candidate that may know how long calls take there. */
 export interface PacedCandidate extends Candidate {
   /** Durations that the gate reported for a traffic class; undefined if they are unknown or outdated. */
@@ -69,12 +75,13 @@
   const paces = candidates.map((candidate) => candidate.pace(trafficClass, context.now));
   const knownPaces = paces.filter((pace) => pace !== undefined);
   if (knownPaces.length === 0) return candidates;
+  const longRunRatio = typicalLongRunRatio(knownPaces);
+  if (longRunRatio < MIN_LONG_RUN_RATIO) return candidates;
   const meanMs = meanUsualMs(knownPaces);
   const estimates = candidates.map((candidate, index) =>
     estimateDuration(candidate, paces[index], { meanMs, now: context.now }),
   );
-  const longestFitMs = remainingMs / typicalLongRunRatio(knownPaces);
-  const fits = ({ usualMs }: KnownEstimate<T>): boolean => usualMs <= longestFitMs;
+  const fits = ({ usualMs }: KnownEstimate<T>): boolean => usualMs * longRunRatio <= remainingMs;
   if (estimates.filter(isKnown).every(fits)) return candidates;
   const withRoom = estimates.filter(({ candidate }) => drawRoom(candidate, context, random));
   const fitting = withRoom.filter(isKnown).filter(fits);
@@ -92,7 +99,7 @@
 function typicalLongRunRatio(paces: readonly KindPace[]): number {
   const ratios = paces.map(({ usualMs, longMs }) => longMs / Math.max(MIN_DURATION_MS, usualMs));
   ratios.sort((a, b) => a - b);
-  return Math.max(1, ratios[Math.floor(LONG_RUN_QUANTILE * (ratios.length - 1))]!);
+  return ratios[Math.floor(LONG_RUN_QUANTILE * (ratios.length - 1))]!;
 }
 
 /** @param meanMs mean of the usual durations at the targets where it is known, in milliseconds */
--- a/test/golden/outcome-values.ts
+++ b/test/golden/outcome-values.ts
@@ -22,6 +22,7 @@
   'stale-configuration': true,
   'rate-limited': true,
   'target-rate-limit': true,
+  'target-slowed': true,
   quarantined: true,
 };
 
--- a/test/pins/refusals.test.ts
+++ b/test/pins/refusals.test.ts
@@ -38,6 +38,7 @@
   'stale-configuration': ['Configuration may be old', 503, 502, 502],
   'rate-limited': ['Rate limit of the group reached', 429, 429, 429],
   'target-rate-limit': ['Rate limit of the target reached', 503, 502, 502],
+  'target-slowed': ['Target slowed down', 503, 502, 502],
   quarantined: ['Request kept from targets', 503, 502, 502],
 };
 
