Placement: turning a call away uses up no reroute, and endpoints that refuse a kind count as full for it

The reroute after a slowed target was the only one left after an overload, and calls gathered where the limit of their kind was reached.

--- a/src/outbound/attempt-end.ts
+++ b/src/outbound/attempt-end.ts
@@ -13,14 +13,15 @@
 export function refusedAttempt(outcome: Outcome): FailedAttempt {
   const { verdict, overloaded, crashNote, rejectedByTarget = false } = outcome;
   const isDangerous = crashNote === CrashNote.Suspect || crashNote === CrashNote.Quarantined;
-  const isRateLimited = outcome.refusal === 'target-rate-limit';
-  return { verdict, overloaded, rejectedByTarget, isDangerous, isRateLimited };
+  const isTargetSpecific =
+    outcome.refusal === 'target-rate-limit' || outcome.refusal === 'target-slowed';
+  return { verdict, overloaded, rejectedByTarget, isDangerous, isTargetSpecific };
 }
 
 /** Creates the input of the retry policy for an attempt whose connection broke. */
 export function brokenAttempt({ written }: AttemptFailure): FailedAttempt {
   const verdict = written ? 'may-have-run' : 'not-run';
-  const unrefused = { overloaded: false, rejectedByTarget: false, isRateLimited: false };
+  const unrefused = { overloaded: false, rejectedByTarget: false, isTargetSpecific: false };
   return { verdict, isDangerous: false, ...unrefused };
 }
 
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -132,9 +132,10 @@
     return delayMs + usualMs <= this.remainingMs;
   }
 
-  /** Whether a refusal of the next attempt costs the call nothing: it is not its last one, and it needs no retry. */
+  /** Whether a refusal of the attempt that is being sent costs the call nothing: others can follow without a retry. */
   private get mayBeTurnedAway(): boolean {
-    return !this.request.repeatable && this.transport.replayable && this.reroutes === 0;
+    const isFirst = this.triedEndpointIds.size <= 1;
+    return isFirst && !this.request.repeatable && this.transport.replayable;
   }
 
   /** Milliseconds left until the deadline. */
@@ -283,7 +284,7 @@
       return;
     }
     if (step.type === 'retry') this.spendRetry();
-    else if (!failed.isRateLimited) this.reroutes += 1;
+    else if (!failed.isTargetSpecific) this.reroutes += 1;
     this.sendAttempt();
   }
 
--- a/src/retry/retry-policy.ts
+++ b/src/retry/retry-policy.ts
@@ -56,8 +56,8 @@
   readonly rejectedByTarget: boolean;
   /** Whether targets crash, or may crash, while they handle the request. */
   readonly isDangerous: boolean;
-  /** Whether it was refused, without having run, because of the rate limit that the target announces. */
-  readonly isRateLimited: boolean;
+  /** Whether it was refused, without having run, only because of the target: its rate limit, or a slow phase. */
+  readonly isTargetSpecific: boolean;
 }
 
 /** State of the two limits on retries and hedged requests. */
@@ -98,7 +98,7 @@
   if (!state.replayable) return giveUp(GiveUpReason.NotReplayable);
   if (state.remainingMs < MIN_RETRY_TIME_MS) return giveUp(GiveUpReason.NoTime);
   // Not limited in number: a call tries each target at most once.
-  if (attempt.isRateLimited) return REROUTE;
+  if (attempt.isTargetSpecific) return REROUTE;
   if (attempt.verdict === 'not-run') {
     if (attempt.rejectedByTarget) return retryIfAllowed(state);
     return state.reroutes < MAX_REROUTES ? REROUTE : giveUp(GiveUpReason.ReroutesUsed);
--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -172,6 +172,7 @@
     const now = this.options.clock.now();
     view.onEnd(result, now);
     if (outcome?.returnInMs !== undefined) view.pause(priority, now + outcome.returnInMs);
+    if (outcome?.refusal === 'overload') view.onOverload(trafficClass, now);
     if (outcome?.load !== undefined) {
       view.onLoad(outcome.load, trafficClass, now);
       this.meanLimit += LIMIT_WEIGHT * (outcome.load.limit - this.meanLimit);
--- a/src/routing/endpoint-view.ts
+++ b/src/routing/endpoint-view.ts
@@ -38,6 +38,9 @@
 /** Maximum number of traffic classes whose pace is kept; bounds memory when routes are added and removed. */
 const MAX_CLASSES = 1_000;
 
+/** How long an endpoint that refused a call of a traffic class for overload has no room for that class, in milliseconds. */
+const OVERLOAD_MEMORY_MS = 1_000;
+
 interface ReportedPace {
   readonly pace: KindPace;
   /** Monotonic milliseconds. */
@@ -57,6 +60,8 @@
   private loadAt = 0;
   /** Durations of calls by traffic class, as the gate reported them. */
   private readonly paces = new BoundedMap<ReportedPace>(MAX_CLASSES);
+  /** When the gate last refused calls for overload, by traffic class, in monotonic milliseconds. */
+  private readonly overloadedAt = new BoundedMap<number>(MAX_CLASSES);
   private readonly outliers = new OutlierDetector();
   /** Start of the slow start, in monotonic milliseconds; -Infinity if there is none. */
   private slowStartFrom: number;
@@ -75,6 +80,7 @@
       this.slowStartFrom = now;
       this.load = undefined;
       this.paces.clear();
+      this.overloadedAt.clear();
       this.latestLatencyRatio = 1;
       this.pausedUntil.clear();
     }
@@ -121,6 +127,16 @@
     this.paces.set(trafficClass, { pace: load.kindPace, reportedAt: now });
   }
 
+  /** The gate refused a call of a traffic class for overload, which may concern only that class. */
+  onOverload(trafficClass: string, now: number): void {
+    this.overloadedAt.set(trafficClass, now);
+  }
+
+  isOverloaded(trafficClass: string, now: number): boolean {
+    const at = this.overloadedAt.get(trafficClass);
+    return at !== undefined && now - at < OVERLOAD_MEMORY_MS;
+  }
+
   pace(trafficClass: string, now: number): KindPace | undefined {
     const reported = this.paces.get(trafficClass);
     if (reported === undefined || now - reported.reportedAt > PACE_TTL_MS) return undefined;
--- a/src/routing/expected-duration.ts
+++ b/src/routing/expected-duration.ts
@@ -43,6 +43,8 @@
 export interface PacedCandidate extends Candidate {
   /** Durations that the gate reported for a traffic class; undefined if they are unknown or outdated. */
   pace(trafficClass: string, now: number): KindPace | undefined;
+  /** Whether the gate has lately refused calls of a traffic class for overload. */
+  isOverloaded(trafficClass: string, now: number): boolean;
 }
 
 /** The call for which candidates are selected. */
@@ -83,7 +85,10 @@
   );
   const fits = ({ usualMs }: KnownEstimate<T>): boolean => usualMs * longRunRatio <= remainingMs;
   if (estimates.filter(isKnown).every(fits)) return candidates;
-  const withRoom = estimates.filter(({ candidate }) => drawRoom(candidate, context, random));
+  const withRoom = estimates.filter(
+    ({ candidate }) =>
+      !candidate.isOverloaded(trafficClass, context.now) && drawRoom(candidate, context, random),
+  );
   const fitting = withRoom.filter(isKnown).filter(fits);
   const selected =
     fitting.length > 0
--- a/test/outbound/turned-away-call.test.ts
+++ b/test/outbound/turned-away-call.test.ts
@@ -19,6 +19,12 @@
   unspentRetries: 0,
   load: { inFlight: 1, limit: 10 },
 };
+const OVERLOADED: Outcome = {
+  ...ANSWERED,
+  verdict: 'not-run',
+  refusal: 'overload',
+  overloaded: true,
+};
 const TURNED_AWAY: Outcome = { ...ANSWERED, verdict: 'not-run', refusal: 'target-slowed' };
 
 interface Sent {
@@ -26,8 +32,17 @@
   readonly isReroutable: boolean | undefined;
 }
 
+interface Options {
+  readonly repeatable?: boolean;
+  readonly nodes?: number;
+  readonly inFlight?: number;
+  /** Outcomes of the attempts that may not be turned away; answered by default. */
+  readonly others?: readonly Outcome[];
+}
+
 /** Makes a call before gates that turn away each attempt whose caller allows it. */
-function call(options: { repeatable?: boolean; nodes?: number; inFlight?: number } = {}) {
+function call(options: Options = {}) {
+  const others = [...(options.others ?? [])];
   const clock = new VirtualClock();
   const balancer = oneZoneBalancer(clock, new SeededRandom(3), options.nodes ?? 3);
   const priority = { trafficClass: 'accept', priority: 2 };
@@ -42,7 +57,7 @@
     send: ({ id }: EndpointRecord, envelope: AttemptMetadata, to: AttemptListener): Attempt => {
       const { isReroutable } = envelope;
       sent.push({ id, isReroutable });
-      const outcome = isReroutable === true ? TURNED_AWAY : ANSWERED;
+      const outcome = isReroutable === true ? TURNED_AWAY : (others.shift() ?? ANSWERED);
       clock.schedule(1, () => {
         if (to.onHead({ status: 200, outcome }) === 'relay') to.onEnd();
       });
@@ -53,7 +68,14 @@
   const services = { clock, balancer, throttle, budget: UNLIMITED_RETRIES };
   const { repeatable = false } = options;
   const allowance = new RetryAllowance(0);
-  const request = { ...priority, repeatable, deadlineAt: 1_000, retryRatio: 0, allowance };
+  const request = {
+    ...priority,
+    repeatable,
+    deadlineAt: 1_000,
+    retryRatio: 0,
+    allowance,
+    overloadReroutes: 1,
+  };
   new OutboundCall(request, services, transport, (ended) => (result = ended)).start();
   clock.advance(50);
   return { sent, result };
@@ -67,6 +89,13 @@
     expect(sent[0]!.id).not.to.equal(sent[1]!.id);
   });
 
+  // Refused after both: the turn away had used up the reroute that a refusal for overload leaves.
+  it('can still be rerouted after a refusal for overload', () => {
+    const { sent, result } = call({ others: [OVERLOADED] });
+    expect(result?.type).to.equal('relayed');
+    expect(sent).to.have.length(3);
+  });
+
   for (const [name, options] of Object.entries({
     'it may be repeated': { repeatable: true },
     'there is no other target': { nodes: 1 },
--- a/test/retry/retry-policy.test.ts
+++ b/test/retry/retry-policy.test.ts
@@ -28,7 +28,7 @@
     overloaded: false,
     rejectedByTarget: false,
     isDangerous: false,
-    isRateLimited: false,
+    isTargetSpecific: false,
   };
   const MAY_HAVE_RUN: FailedAttempt = { ...NOT_RUN, verdict: 'may-have-run' };
   const RAN: FailedAttempt = { ...NOT_RUN, verdict: 'ran' };
--- a/test/routing/expected-duration.test.ts
+++ b/test/routing/expected-duration.test.ts
@@ -13,6 +13,7 @@
   occupancy?: number;
   readonly latencyRatio?: number;
   readonly longRatio?: number;
+  readonly overloaded?: boolean;
   readonly zone?: string;
 }
 
@@ -22,6 +23,7 @@
 
 function candidate(target: Target): NamedCandidate {
   const { name, usualMs, latencyRatio = 1, longRatio = LONG_RUN_RATIO, zone = 'a' } = target;
+  const { overloaded = false } = target;
   const occupancy = (): number => target.occupancy ?? 0.1;
   return {
     name,
@@ -30,6 +32,7 @@
     occupancy,
     latencyRatio: () => latencyRatio,
     cost: () => occupancy() * latencyRatio,
+    isOverloaded: () => overloaded,
     pace: () => (usualMs === undefined ? undefined : { usualMs, longMs: usualMs * longRatio }),
   };
 }
@@ -83,6 +86,7 @@
         1_000,
       ),
     ).to.deep.equal(ALL);
+    expect(selected([{ ...FAST, overloaded: true }, SLOW], 1_000)).to.deep.equal(['slow']);
     const alike = [FAST, SLOW].map((each) => ({ ...each, longRatio: 1.5 }));
     expect(selected(alike, 300)).to.deep.equal(ALL);
   });
