--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -7,7 +7,6 @@
 import {
   decideHedge,
   decideNextStep,
-  MAX_REROUTES,
   type FailedAttempt,
   type RetryLimitState,
 } from '../retry/retry-policy.js';
@@ -44,6 +43,9 @@
   OutboundTransport,
 } from '../call/transport.js';
 
+/** Number of gates that may turn a call away for a better target. Two rarely fail or slow down at the same time as a third. */
+const MAX_TURNED_AWAY = 2;
+
 export class OutboundCall {
   private readonly triedEndpointIds = new Set<string>();
   private readonly attempts = new ActiveAttempts();
@@ -134,9 +136,10 @@
     return delayMs + usualMs <= this.remainingMs;
   }
 
-  /** Whether a refusal of the next attempt costs the call nothing: it is not its last one, and it needs no retry. */
+  /** Whether a refusal of the attempt that is being sent costs the call nothing: others can follow without a retry. */
   private get mayBeTurnedAway(): boolean {
-    return !this.request.repeatable && this.transport.replayable && this.reroutes < MAX_REROUTES;
+    const isEarly = this.triedEndpointIds.size <= MAX_TURNED_AWAY;
+    return isEarly && !this.request.repeatable && this.transport.replayable;
   }
 
   /** Milliseconds left until the deadline. */
@@ -285,7 +288,7 @@
       return;
     }
     if (step.type === 'retry') this.spendRetry();
-    else if (!failed.isRateLimited) this.reroutes += 1;
+    else if (!failed.isTargetSpecific) this.reroutes += 1;
     this.sendAttempt();
   }
 
