--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -16,7 +16,7 @@
  * Time for which the lower ranks are shut out before a rank is, in milliseconds: what was admitted before still waits at the
  * bottleneck for about that long. And the time in which the part of a rank falls from 1 to 0 at most.
  */
-const EFFECT_MS = 1_500;
+const EFFECT_MS = 2_000;
 const FALL_MS = 300;
 /** Admitted part below which ranks that are admitted in full are favoured. */
 const FAVOURS_BELOW = 0.95;
--- a/src/admission/target-pressure.ts
+++ b/src/admission/target-pressure.ts
@@ -26,11 +26,14 @@
 const MAX_LOAD = 1.3;
 /** Largest ratio. */
 const MAX_RATIO = 10;
+/** Time constant of the average by which a falling load is told, in milliseconds. */
+const TREND_MS = 400;
 /** Longest step of the integral, in milliseconds. */
 const MAX_STEP_MS = 500;
 
 export class TargetPressure {
   private averageLoad = 0;
+  private trendLoad = 0;
   private latestLoad = 0;
   /** Natural logarithm of the integral part, 0 or more. */
   private integral = 0;
@@ -62,8 +65,13 @@
   private advance(elapsedMs: number): void {
     const weight = 1 - Math.exp(-elapsedMs / AVERAGING_MS);
     this.averageLoad += weight * (this.latestLoad - this.averageLoad);
+    this.trendLoad += (1 - Math.exp(-elapsedMs / TREND_MS)) * (this.latestLoad - this.trendLoad);
     const stepMs = Math.min(elapsedMs, MAX_STEP_MS);
-    const raised = this.integral + (stepMs / INTEGRAL_MS) * this.excess();
+    // Calls that were admitted earlier still wait, but what is admitted now fits.
+    const isDraining = this.averageLoad > 1 && this.averageLoad < this.trendLoad;
+    const raised = isDraining
+      ? this.integral
+      : this.integral + (stepMs / INTEGRAL_MS) * this.excess();
     this.integral = Math.min(
       Math.log(MAX_RATIO),
       Math.max(0, raised * Math.exp(-stepMs / LEAK_MS)),
