--- a/src/admission/path-bottlenecks.ts
+++ b/src/admission/path-bottlenecks.ts
@@ -21,6 +21,7 @@
 interface ToldBottleneck {
   service: string;
   pressure: number;
+  workMs: number | undefined;
   toldAt: number;
 }
 
@@ -59,12 +60,16 @@
     const now = this.options.clock.now();
     const state = this.routes.get(route);
     if (state === undefined) {
-      if (told !== undefined) this.routes.set(route, { ...told, toldAt: now });
+      if (told !== undefined) this.routes.set(route, { workMs: undefined, ...told, toldAt: now });
       return;
     }
     const weight = Math.max(MIN_WEIGHT, 1 - Math.exp((state.toldAt - now) / AVERAGING_MS));
     state.toldAt = now;
     if (told !== undefined && told.pressure > state.pressure) state.service = told.service;
+    if (told?.service === state.service && told.workMs !== undefined) {
+      const before = state.workMs ?? told.workMs;
+      state.workMs = before + weight * (told.workMs - before);
+    }
     state.pressure += weight * ((told?.pressure ?? 1) - state.pressure);
   }
 
@@ -74,14 +79,17 @@
     const own = service();
     let highest = pressure.current();
     let bottleneck = own;
+    let workMs = shares.meanMs(kind);
     const now = clock.now();
     for (const [route, told] of this.routes) {
       if (told.pressure <= highest || now - told.toldAt > MAX_AGE_MS) continue;
-      if (!shares.makesCalls(kind, route)) continue;
+      const calls = shares.callsPerRun(kind, route);
+      if (calls === 0) continue;
       highest = told.pressure;
       bottleneck = told.service;
+      workMs = told.workMs === undefined ? undefined : calls * told.workMs;
     }
     if (bottleneck === undefined || highest < MIN_TOLD_PRESSURE) return undefined;
-    return { service: bottleneck, pressure: highest };
+    return { service: bottleneck, pressure: highest, ...(workMs !== undefined && { workMs }) };
   }
 }
--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -20,6 +20,8 @@
 const FALL_MS = 300;
 /** Admitted part below which ranks that are admitted in full are favoured. */
 const FAVOURS_BELOW = 0.95;
+/** Work of a rank below which it counts as absent, in milliseconds of slots. */
+const MIN_WORK_MS = 10;
 /** Requests of a rank below which it counts as absent. */
 export const MIN_OFFERED = 0.5;
 /** Time without news after which the level opens, and the time constant with which the ratio then falls, in milliseconds. */
@@ -28,7 +30,7 @@
 
 /** Recent requests at this process, by importance. */
 export interface OfferedMix {
-  /** Number of those that are known to lead to the service. */
+  /** Work of those that are known to lead to the service, in milliseconds of its slots. */
   readonly offered: readonly number[];
   /** Whether there are any, also of routes that are not known to lead there. */
   readonly isPresent: readonly boolean[];
@@ -93,11 +95,11 @@
     }
     for (let each = IMPORTANCE_COUNT - 1; each >= 0; each -= 1) {
       const own = offered[each]!;
-      const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(1, own)));
+      const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(MIN_WORK_MS, own)));
       room -= own;
       const lowest = falls[each] ? this.parts[each]! - elapsedMs / FALL_MS : this.parts[each]!;
       this.parts[each] = Math.max(wanted, lowest);
-      if (this.parts[each]! > SHUT_BELOW && own >= MIN_OFFERED) this.shutSince[each] = now;
+      if (this.parts[each]! > SHUT_BELOW && own >= MIN_WORK_MS) this.shutSince[each] = now;
     }
   }
 
--- a/src/call/outcome.ts
+++ b/src/call/outcome.ts
@@ -31,8 +31,10 @@
 /** The most loaded service on the path of a call: the callee's own, or one that the callee's target calls for such calls. */
 export interface Bottleneck {
   readonly service: string;
-  /** Load of that service relative to its capacity; above 1, calls wait there. */
+  /** Demand for that service as a multiple of its capacity, as it would be if no request were refused for it; above 1. */
   readonly pressure: number;
+  /** Time for which one such call, with its nested calls, holds slots of that service, in milliseconds. Absent if not known. */
+  readonly workMs?: number;
 }
 
 /** What a gate reports about a crash of its target when a call got no answer. */
--- a/src/ingress/first-hop-room.ts
+++ b/src/ingress/first-hop-room.ts
@@ -22,6 +22,9 @@
 const MAX_LINK_AGE_MS = 30_000;
 /** Time constant over which requests are counted, in milliseconds. */
 const MIX_MS = 5_000;
+/** Weight of one answer in the mean time that a request takes of a service, and the time until one is told, in milliseconds. */
+const WORK_WEIGHT = 0.05;
+const DEFAULT_WORK_MS = 100;
 /** Place of a returning request among those of its rank, as a multiple of that of a new one: it has less time left. */
 const RETURNING_POSITION = 0.5;
 /** Admitted parts below which a level is reported as refusing, and above which as open again. */
@@ -79,8 +82,8 @@
 
 interface ServiceState {
   readonly level: RoomLevel;
-  /** Routes that lead to the service. */
-  readonly routes: Set<RouteState>;
+  /** Routes that lead to the service, with the time that one request takes of it, in milliseconds. */
+  readonly routes: Map<RouteState, number>;
   isRefusing: boolean;
   changedAt: number;
 }
@@ -124,7 +127,9 @@
     state.answers += 1;
     if (told !== undefined) {
       state.toldAt.set(told.service, this.clock.now());
-      this.serviceState(told.service).routes.add(state);
+      const { routes } = this.serviceState(told.service);
+      const workMs = routes.get(state) ?? told.workMs ?? DEFAULT_WORK_MS;
+      routes.set(state, workMs + WORK_WEIGHT * ((told.workMs ?? workMs) - workMs));
     }
     for (const service of state.toldAt.keys()) {
       // Another service is told while it is the most loaded one on the path: this one is at most as loaded.
@@ -161,8 +166,8 @@
   private mixOf({ routes }: ServiceState): OfferedMix {
     const now = this.clock.now();
     const offered = new Array<number>(IMPORTANCE_COUNT).fill(0);
-    for (const { importance, offered: requests } of routes) {
-      offered[importance]! += requests.current(now);
+    for (const [{ importance, offered: requests }, workMs] of routes) {
+      offered[importance]! += requests.current(now) * workMs;
     }
     const isPresent = this.offered.map((each) => each.current(now) >= MIN_OFFERED);
     return { offered, isPresent };
@@ -187,7 +192,7 @@
     if (state === undefined) {
       state = {
         level: new RoomLevel(this.clock),
-        routes: new Set(),
+        routes: new Map(),
         isRefusing: false,
         changedAt: -Infinity,
       };
--- a/src/link/outcome-fields.ts
+++ b/src/link/outcome-fields.ts
@@ -22,7 +22,7 @@
   returnInMs?: number | null,
   /** Usual and longest recent duration of the kind at the target, in milliseconds. */
   kindPace?: [usualMs: number, longMs: number] | null,
-  bottleneck?: [service: string, pressure: number] | null,
+  bottleneck?: [service: string, pressure: number, workMs?: number] | null,
 ];
 
 /** Number of fields that every version sends. */
@@ -56,7 +56,7 @@
   fields.push(
     returnInMs === undefined ? null : Math.ceil(returnInMs),
     pace === undefined ? null : [Math.round(pace.usualMs), Math.round(pace.longMs)],
-    bottleneck === undefined ? null : [bottleneck.service, bottleneck.pressure],
+    bottleneck === undefined ? null : fromBottleneck(bottleneck),
   );
   while (fields.length > COMMON_FIELDS && fields.at(-1) === null) fields.pop();
 }
@@ -110,6 +110,10 @@
   return { usualMs, longMs };
 }
 
-function toBottleneck([service, pressure]: [string, number]): Bottleneck {
-  return { service, pressure };
+function fromBottleneck({ service, pressure, workMs }: Bottleneck): [string, number, number?] {
+  return workMs === undefined ? [service, pressure] : [service, pressure, workMs];
+}
+
+function toBottleneck([service, pressure, workMs]: [string, number, number?]): Bottleneck {
+  return { service, pressure, ...(typeof workMs === 'number' && { workMs }) };
 }
