--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -20,6 +20,8 @@
 const FALL_MS = 300;
 /** Admitted part below which ranks that are admitted in full are favoured. */
 const FAVOURS_BELOW = 0.95;
+/** Part of a rank from which it counts as admitted in full. */
+const FAVOURED_PART = 0.8;
 /** Work of a rank below which it counts as absent, in milliseconds of slots. */
 const MIN_WORK_MS = 10;
 /** Requests of a rank below which it counts as absent. */
@@ -67,7 +69,7 @@
 
   /** Whether requests of lower ranks are refused in favour of those of one importance, none of which is refused. */
   favours(importance: Importance): boolean {
-    return this.admittedPart < FAVOURS_BELOW && this.parts[importance]! >= 1;
+    return this.admittedPart < FAVOURS_BELOW && this.parts[importance]! >= FAVOURED_PART;
   }
 
   /**
