--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -16,10 +16,14 @@
  * Time for which the lower ranks are shut out before a rank is, in milliseconds: what was admitted before still waits at the
  * bottleneck for about that long. And the time in which the part of a rank falls from 1 to 0 at most.
  */
-const EFFECT_MS = 1_500;
+const EFFECT_MS = 2_000;
 const FALL_MS = 300;
 /** Admitted part below which ranks that are admitted in full are favoured. */
 const FAVOURS_BELOW = 0.95;
+/** Part of a rank from which it counts as admitted in full. */
+const FAVOURED_PART = 0.8;
+/** Work of a rank below which it counts as absent, in milliseconds of slots. */
+const MIN_WORK_MS = 10;
 /** Requests of a rank below which it counts as absent. */
 export const MIN_OFFERED = 0.5;
 /** Time without news after which the level opens, and the time constant with which the ratio then falls, in milliseconds. */
@@ -28,7 +32,7 @@
 
 /** Recent requests at this process, by importance. */
 export interface OfferedMix {
-  /** Number of those that are known to lead to the service. */
+  /** Work of those that are known to lead to the service, in milliseconds of its slots. */
   readonly offered: readonly number[];
   /** Whether there are any, also of routes that are not known to lead there. */
   readonly isPresent: readonly boolean[];
@@ -65,7 +69,7 @@
 
   /** Whether requests of lower ranks are refused in favour of those of one importance, none of which is refused. */
   favours(importance: Importance): boolean {
-    return this.admittedPart < FAVOURS_BELOW && this.parts[importance]! >= 1;
+    return this.admittedPart < FAVOURS_BELOW && this.parts[importance]! >= FAVOURED_PART;
   }
 
   /**
@@ -93,11 +97,11 @@
     }
     for (let each = IMPORTANCE_COUNT - 1; each >= 0; each -= 1) {
       const own = offered[each]!;
-      const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(1, own)));
+      const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(MIN_WORK_MS, own)));
       room -= own;
       const lowest = falls[each] ? this.parts[each]! - elapsedMs / FALL_MS : this.parts[each]!;
       this.parts[each] = Math.max(wanted, lowest);
-      if (this.parts[each]! > SHUT_BELOW && own >= MIN_OFFERED) this.shutSince[each] = now;
+      if (this.parts[each]! > SHUT_BELOW && own >= MIN_WORK_MS) this.shutSince[each] = now;
     }
   }
 
