--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -137,7 +137,9 @@
     const used = this.used.total(now);
     const isGranted = this.validUntil > now;
     if (!isGranted) return NOTHING_GRANTED;
-    const description = `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`;
+    const counts = `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`;
+    const isKept = this.isHot && this.supply(now).free >= 1;
+    const description = isKept ? `${counts} The rest is kept for more urgent kinds.` : counts;
     return { description, retryAfterSeconds: this.retryAfterSeconds(importance, now) };
   }
 
