Quota: permits of a window last until others return

Cause: a group that used little before its demand rose had a whole window free, and the pace spent it within two seconds. Change: what is needed to release half of the mean rate until others return is kept back; less is kept for urgent kinds.

--- a/src/common/sliding-window-counter.ts
+++ b/src/common/sliding-window-counter.ts
@@ -77,6 +77,22 @@
     return expiring;
   }
 
+  /**
+   * Returns the largest number by which `perMs` events per millisecond, from now on, are ahead of the events that leave the
+   * window, at any time until all have left.
+   */
+  largestLead(perMs: number, now: number): number {
+    this.advance(now);
+    let left = 0;
+    let largest = 0;
+    for (let step = this.step - STEPS_PER_WINDOW; step <= this.step; step += 1) {
+      const msToExpiry = (step + BUCKET_COUNT) * this.stepMs - now;
+      largest = Math.max(largest, perMs * msToExpiry - left);
+      left += this.buckets[bucketIndex(step)]!;
+    }
+    return largest;
+  }
+
   private addToBucket(step: number, amount: number): void {
     this.buckets[bucketIndex(step)]! += amount;
     this.sum += amount;
--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -7,7 +7,12 @@
 import type { Importance } from '../policy/importance.js';
 import { GroupHeat, isRising, type WindowDemand } from './group-heat.js';
 import { KindDemand } from './kind-demand.js';
-import { PACE_HORIZON_MS, PermitPacing, type PermitSupply } from './permit-pacing.js';
+import {
+  LEAST_RATE_FRACTION,
+  PACE_HORIZON_MS,
+  PermitPacing,
+  type PermitSupply,
+} from './permit-pacing.js';
 import { PROJECTED_MS, type GroupGrant, type GroupUse } from './quota-messages.js';
 import { ReturnTimes } from './return-times.js';
 
@@ -155,7 +160,9 @@
   }
 
   private windowDemand(now: number): WindowDemand {
-    const { isLimited, countedMs: windowMs } = this;
+    const { countedMs: windowMs } = this;
+    // What an expired grant said about the limit may be over, too.
+    const isLimited = this.isLimited && this.validUntil > now;
     const projected = this.offered.recentRate(PROJECTED_MS, now) * windowMs;
     return { allowance: this.allowed(now), projected, windowMs, isLimited };
   }
@@ -163,7 +170,10 @@
   private supply(now: number): PermitSupply {
     const allowance = this.allowed(now);
     const free = Math.max(0, allowance - this.used.total(now));
-    return { allowance, free, returning: this.used.expiringWithin(PACE_HORIZON_MS, now) };
+    const returning = this.used.expiringWithin(PACE_HORIZON_MS, now);
+    const leastPerMs = (LEAST_RATE_FRACTION * allowance) / this.countedMs;
+    const neededLater = this.used.largestLead(leastPerMs, now);
+    return { allowance, free, returning, neededLater };
   }
 
   private allowed(now: number): number {
--- a/src/quota/permit-pacing.ts
+++ b/src/quota/permit-pacing.ts
@@ -13,10 +13,12 @@
 
 /** Time in milliseconds over which free permits are spread. Shorter than the window, to follow permits as they return. */
 export const PACE_HORIZON_MS = 500;
+/** Fraction of the mean rate of a window that is released at least, so that the permits of a window last until they return. */
+export const LEAST_RATE_FRACTION = 0.5;
 /** Time in milliseconds for whose requests of more urgent kinds permits are kept. */
 const RESERVED_MS = 1_000;
 /** Standard deviations of the number of these requests that are kept: their mean is released in this time anyway. */
-const RESERVED_DEVIATIONS = 2;
+const RESERVED_DEVIATIONS = 1.5;
 /** Maximum fraction of the allowance that is kept, so that small allowances are not held back as a whole. */
 const MAX_RESERVED_FRACTION = 0.25;
 /** Permits released within this many milliseconds may accumulate on top of what is kept, since arrivals are uneven. */
@@ -30,6 +32,8 @@
   readonly free: number;
   /** Permits that become free within {@link PACE_HORIZON_MS}. */
   readonly returning: number;
+  /** Free permits that are needed to release {@link LEAST_RATE_FRACTION} of the mean rate until others return. */
+  readonly neededLater: number;
 }
 
 export class PermitPacing {
@@ -86,8 +90,11 @@
     this.stock = Math.min(this.stock + released, this.maxStock(supply, now));
   }
 
-  private releasedPerSecond({ free, returning }: PermitSupply): number {
-    return (Math.max(0, free - this.stock + returning) * MS_PER_SECOND) / PACE_HORIZON_MS;
+  private releasedPerSecond(supply: PermitSupply): number {
+    const { free, returning, neededLater } = supply;
+    const releasable = Math.max(0, free - neededLater - this.stock + returning);
+    const leastPerSecond = LEAST_RATE_FRACTION * this.meanPerSecond(supply);
+    return Math.max(leastPerSecond, (releasable * MS_PER_SECOND) / PACE_HORIZON_MS);
   }
 
   private meanPerSecond({ allowance }: PermitSupply): number {
--- a/test/quota/hot-group.test.ts
+++ b/test/quota/hot-group.test.ts
@@ -69,6 +69,18 @@
     });
   }
 
+  // Symptom: a group that had used little before spent a whole window in two seconds, and got a tenth of its limit after.
+  it('gets its limit evenly also if it asked for little before', () => {
+    const run = { ingresses: 24, usualPerSecond: 30, limitFactor: 7.5, heatFactor: 23 };
+    for (const seed of SEEDS) {
+      const result = replay({ ...run, heatMs: 10_000 }, seed);
+      const bySecond = servedBySecond(result, 10);
+      expect(servedPart(result.seconds.slice(0, 10), 0)).to.be.above(0.97);
+      expect(Math.min(...bySecond)).to.be.above((0.5 * total(bySecond)) / bySecond.length);
+      expect(result.worstBoundRatio).to.be.at.most(1);
+    }
+  });
+
   it('gets its limit if no urgent kinds come', () => {
     for (const seed of SEEDS) {
       const kinds = [{ ...LAST, share: 1 }];
@@ -89,6 +101,17 @@
     }
   });
 
+  it('gets nothing once its grants have expired, and its order again with the next leader', () => {
+    for (const seed of SEEDS) {
+      const leaderLoss = { afterMs: 2_000, forMs: 7_500 };
+      const run = { ingresses: 24, usualPerSecond: 140, heatMs: 14_000, leaderLoss };
+      const result = replay(run, seed);
+      expect(total(servedBySecond(result, 14).slice(7, 9)), 'without grants').to.be.below(20);
+      expect(servedPart(result.seconds.slice(11, 14), 0), 'afterwards').to.be.above(0.95);
+      expect(result.worstBoundRatio).to.be.at.most(1);
+    }
+  });
+
   it('is reported once an ingress when it reaches its limit, and when it is within it again', () => {
     const { events } = replay({ ingresses: 1, usualPerSecond: 140 }, 1);
     expect(events.map(({ type }) => type)).to.deep.equal(['at-limit', 'within-limit']);
--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -126,6 +126,24 @@
     );
   });
 
+  it('foretells how many events stop counting, and how far a constant rate gets ahead of them', () => {
+    const gaps = fc.array(fc.integer({ min: 0, max: 200 }), { maxLength: 30 });
+    fc.assert(
+      fc.property(gaps, fc.integer({ min: 0, max: 1_200 }), (gapsMs, aheadMs) => {
+        const count = new SlidingWindowCounter(1_000);
+        let now = 0;
+        for (const gapMs of gapsMs) count.add((now += gapMs));
+        const perMs = 0.01;
+        const lead = count.largestLead(perMs, now);
+        const foretold = count.expiringWithin(aheadMs, now);
+        const before = count.total(now);
+        const expired = before - count.total(now + aheadMs);
+        expect(foretold).to.equal(expired);
+        if (expired < before) expect(perMs * aheadMs - expired).to.be.at.most(lead + 1e-9);
+      }),
+    );
+  });
+
   it('says when the oldest event stops counting', () => {
     const count = new SlidingWindowCounter(1_000);
     count.add(500);
