--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -7,7 +7,12 @@
 import type { Importance } from '../policy/importance.js';
 import { GroupHeat, isRising, type WindowDemand } from './group-heat.js';
 import { KindDemand } from './kind-demand.js';
-import { PACE_HORIZON_MS, PermitPacing, type PermitSupply } from './permit-pacing.js';
+import {
+  LEAST_RATE_FRACTION,
+  PACE_HORIZON_MS,
+  PermitPacing,
+  type PermitSupply,
+} from './permit-pacing.js';
 import { PROJECTED_MS, type GroupGrant, type GroupUse } from './quota-messages.js';
 import { ReturnTimes } from './return-times.js';
 
@@ -137,7 +142,9 @@
     const used = this.used.total(now);
     const isGranted = this.validUntil > now;
     if (!isGranted) return NOTHING_GRANTED;
-    const description = `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`;
+    const counts = `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`;
+    const isKept = this.isHot && this.supply(now).free >= 1;
+    const description = isKept ? `${counts} The rest is kept for more urgent kinds.` : counts;
     return { description, retryAfterSeconds: this.retryAfterSeconds(importance, now) };
   }
 
@@ -153,7 +160,9 @@
   }
 
   private windowDemand(now: number): WindowDemand {
-    const { isLimited, countedMs: windowMs } = this;
+    const { countedMs: windowMs } = this;
+    // What an expired grant said about the limit may be over, too.
+    const isLimited = this.isLimited && this.validUntil > now;
     const projected = this.offered.recentRate(PROJECTED_MS, now) * windowMs;
     return { allowance: this.allowed(now), projected, windowMs, isLimited };
   }
@@ -161,7 +170,10 @@
   private supply(now: number): PermitSupply {
     const allowance = this.allowed(now);
     const free = Math.max(0, allowance - this.used.total(now));
-    return { allowance, free, returning: this.used.expiringWithin(PACE_HORIZON_MS, now) };
+    const returning = this.used.expiringWithin(PACE_HORIZON_MS, now);
+    const leastPerMs = (LEAST_RATE_FRACTION * allowance) / this.countedMs;
+    const neededLater = this.used.largestLead(leastPerMs, now);
+    return { allowance, free, returning, neededLater };
   }
 
   private allowed(now: number): number {
