Quota: ceilings in the replicated store, so that a new leader grants at once after a loss of all power

Cause: the ledger of grants is memory, and nothing says what was used before; fresh ingresses got nothing for a window (5 s). Ruled out: the ledger on disk (a sync a report); a command when leading begins (the first entry of the term says so). Change: a record of ceilings by group (half of the limit without an entry), bound to the term of its leader; what it leaves is granted at once. A leader holds grants where an ingress has been silent, or ended, since it began to lead.

--- a/lab/simulator/quota/quota-strategies.ts
+++ b/lab/simulator/quota/quota-strategies.ts
@@ -6,6 +6,7 @@
 import type { Group } from '../../../src/policy/group-table.js';
 import { IngressQuota } from '../../../src/quota/ingress-quota.js';
 import type { PermitCallback } from '../../../src/quota/ingress-quota.js';
+import type { LeaderTerms } from '../../../src/quota/group-ceilings.js';
 import { QuotaLedger, type QuotaLedgerOptions } from '../../../src/quota/quota-ledger.js';
 import type { QuotaGrants, QuotaReport } from '../../../src/quota/quota-messages.js';
 import { SlidingWindowCounter } from '../../../src/common/sliding-window-counter.js';
@@ -21,8 +22,16 @@
 
 /** The part of a strategy that runs at a control replica. */
 export interface ControlSide {
-  /** @returns the grants that a leader sends; undefined if a newer report was received before */
-  onReport(id: string, report: QuotaReport, now: number): QuotaGrants | undefined;
+  /**
+   * @param terms undefined if the replica does not lead
+   * @returns the grants that a leader sends; undefined if a newer report was received before
+   */
+  onReport(
+    id: string,
+    report: QuotaReport,
+    terms: LeaderTerms | undefined,
+    now: number,
+  ): QuotaGrants | undefined;
 }
 
 /** Options of the ingress side of a strategy. */
--- a/lab/simulator/quota/quota-world.ts
+++ b/lab/simulator/quota/quota-world.ts
@@ -6,6 +6,8 @@
 import { sampleExponential, SeededRandom } from '../../../src/common/random.js';
 import { VirtualClock } from '../../../src/common/virtual-clock.js';
 import type { Group, GroupRate } from '../../../src/policy/group-table.js';
+import type { CeilingRecord } from '../../../src/quota/ceiling-record.js';
+import type { CeilingLog, LeaderTerms } from '../../../src/quota/group-ceilings.js';
 import { grantableInWindow, type QuotaRule } from '../../../src/quota/quota-rule.js';
 import { QuotaChecker, type QuotaFindings } from './quota-checker.js';
 import {
@@ -30,6 +32,10 @@
   readonly surges: readonly number[];
   /** Time after the start of traffic at which all processes lose power. Default: never. */
   readonly powerLossAtMs?: number;
+  /** Time after which the power is lost again. Default: never. */
+  readonly nextPowerLossAfterMs?: number;
+  /** Whether the record of ceilings is lost with the power. Default: false. */
+  readonly losesRecord?: boolean;
 }
 
 /** Results of a run. */
@@ -37,6 +43,8 @@
   readonly groups: readonly QuotaFindings[];
   /** Mean number of groups per report. */
   readonly usesPerReport: number;
+  /** Number of records of ceilings that were committed. */
+  readonly ceilingRecords: number;
 }
 
 const REPLICAS = 3;
@@ -55,6 +63,8 @@
 const MAX_LEADERLESS_MS = 3_000;
 const MAX_DEPOSED_MS = 600;
 const MAX_PARTITION_MS = 6_000;
+/** Maximum time until a proposed record is synced on a majority. */
+const MAX_COMMIT_MS = 30;
 const RESTART_MS = 1_200;
 const ELECTION_MS = 1_500;
 /** Time after which an acknowledged configuration is in force at all processes. */
@@ -70,6 +80,8 @@
 
 interface SimReplica {
   side: ControlSide;
+  /** Undefined while the replica does not lead. Kept for a moment by a leader that is deposed. */
+  terms: LeaderTerms | undefined;
 }
 
 interface SimGroup {
@@ -88,9 +100,16 @@
   private readonly replicas: SimReplica[];
   private readonly groups: SimGroup[];
   private readonly rates = new Map<string, GroupRate>();
-  private leader: number | undefined = 0;
+  private leader: number | undefined;
+  private terms: LeaderTerms = { term: 0, previousTerm: 0 };
+  /** The record of ceilings that a majority has synced. */
+  private record: CeilingRecord | undefined;
+  private ceilingRecords = 0;
+  /** A proposed record that the log of the next leader contains, whether or not it was committed before. */
+  private lastProposed: CeilingRecord | undefined;
   /** A former leader that still grants because it has not detected its loss of leadership. */
   private deposed: number | undefined;
+  private hasLostPowerTwice = false;
   private reports = 0;
   private reportedUses = 0;
 
@@ -98,7 +117,11 @@
     this.random = new SeededRandom(run.seed);
     this.strategy = QUOTA_STRATEGIES[run.strategy];
     this.groups = Array.from({ length: run.groups }, (_, index) => this.createGroup(index));
-    this.replicas = Array.from({ length: REPLICAS }, () => ({ side: this.createControl() }));
+    this.replicas = Array.from({ length: REPLICAS }, (_, index) => ({
+      side: this.createControl(index),
+      terms: undefined,
+    }));
+    this.elect(0);
     this.ingresses = Array.from({ length: run.ingresses }, (_, index) => this.createIngress(index));
   }
 
@@ -117,6 +140,7 @@
     return {
       groups: this.groups.map(({ checker }) => checker.findings()),
       usesPerReport: this.reportedUses / Math.max(1, this.reports),
+      ceilingRecords: this.ceilingRecords,
     };
   }
 
@@ -139,10 +163,46 @@
     return Array.from({ length: callers }, () => this.random.nextInt(this.run.ingresses));
   }
 
-  private createControl(): ControlSide {
+  private createControl(index: number): ControlSide {
     const { windowMs } = this.run.rule;
     const limitOf = (group: string): number | undefined => this.limitOf(group);
-    return this.strategy.control({ windowMs, limitOf }, this.clock.now());
+    const ceilingLog: CeilingLog = {
+      record: () => this.record,
+      propose: (record, onOutcome) => this.proposeRecord(index, record, onOutcome),
+    };
+    return this.strategy.control({ windowMs, limitOf, ceilingLog }, this.clock.now());
+  }
+
+  /** Commits a record unless its leader is deposed meanwhile; the entry may still survive its leader then. */
+  private proposeRecord(
+    index: number,
+    record: CeilingRecord,
+    onOutcome: (isApplied: boolean) => void,
+  ): void {
+    const { clock, random } = this;
+    clock.schedule(1 + random.next() * MAX_COMMIT_MS, () => {
+      const isLeading = this.leader === index && this.terms.term === record.term;
+      if (isLeading) this.commit(record);
+      onOutcome(isLeading);
+    });
+    this.lastProposed = random.next() < 0.5 ? record : undefined;
+  }
+
+  private commit(record: CeilingRecord): void {
+    this.record = record;
+    this.ceilingRecords += 1;
+  }
+
+  /** Makes a replica the leader of a new term. */
+  private elect(index: number): void {
+    const { lastProposed } = this;
+    if (lastProposed?.term === this.terms.term) this.commit(lastProposed);
+    this.lastProposed = undefined;
+    this.terms = { term: this.terms.term + 1, previousTerm: this.terms.term };
+    this.leader = index;
+    this.replicas.forEach((replica, other) => {
+      if (other !== this.deposed) replica.terms = other === index ? this.terms : undefined;
+    });
   }
 
   private createIngress(index: number): SimIngress {
@@ -190,7 +250,7 @@
     this.replicas.forEach((replica, index) => {
       if (only !== undefined && index !== only) return;
       this.deliverLater(() => {
-        const grants = replica.side.onReport(ingress.id, report, this.clock.now());
+        const grants = replica.side.onReport(ingress.id, report, replica.terms, this.clock.now());
         const mayGrant = index === this.leader || index === this.deposed;
         if (grants === undefined || !mayGrant) return;
         this.deliverLater(() => {
@@ -261,10 +321,16 @@
     if (old === undefined) return;
     this.leader = undefined;
     this.clock.schedule(600 + this.random.next() * MAX_LEADERLESS_MS, () => {
-      this.leader = (old + 1 + this.random.nextInt(REPLICAS - 1)) % REPLICAS;
+      const { terms } = this.replicas[old]!;
+      this.replicas[old]!.terms = undefined;
+      this.elect((old + 1 + this.random.nextInt(REPLICAS - 1)) % REPLICAS);
       if (this.random.next() < 0.5) return;
       this.deposed = old;
-      this.clock.schedule(this.random.next() * MAX_DEPOSED_MS, () => (this.deposed = undefined));
+      this.replicas[old]!.terms = terms;
+      this.clock.schedule(this.random.next() * MAX_DEPOSED_MS, () => {
+        this.deposed = undefined;
+        if (this.replicas[old]!.terms === terms) this.replicas[old]!.terms = undefined;
+      });
     });
   }
 
@@ -291,17 +357,30 @@
   private losePower(): void {
     this.leader = undefined;
     this.clock.schedule(RESTART_MS, () => {
-      for (const replica of this.replicas) replica.side = this.createControl();
+      this.leader = undefined;
+      this.deposed = undefined;
+      if (this.run.losesRecord === true) {
+        this.record = undefined;
+        this.lastProposed = undefined;
+      }
+      this.replicas.forEach((replica, index) => {
+        replica.side = this.createControl(index);
+        replica.terms = undefined;
+      });
       for (const ingress of this.ingresses) this.restart(ingress);
     });
-    this.clock.schedule(RESTART_MS + ELECTION_MS, () => (this.leader = 0));
+    this.clock.schedule(RESTART_MS + ELECTION_MS, () => this.elect(0));
+    const { nextPowerLossAfterMs } = this.run;
+    if (nextPowerLossAfterMs === undefined || this.hasLostPowerTwice) return;
+    this.hasLostPowerTwice = true;
+    this.clock.schedule(nextPowerLossAfterMs, () => this.losePower());
   }
 
   /** Restarts a random replica with empty state unless it grants. */
   private restartReplica(): void {
     const index = this.random.nextInt(REPLICAS);
     if (index === this.leader || index === this.deposed) return;
-    this.replicas[index]!.side = this.createControl();
+    this.replicas[index]!.side = this.createControl(index);
   }
 
   private lowerLimit(): void {
--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -23,6 +23,7 @@
   private timer: Timer | undefined;
   /** Start of the newest heartbeat round that a majority has answered; undefined before the first. */
   private confirmedSince: number | undefined;
+  private lastTermBefore = 0;
 
   constructor(
     protected readonly state: RaftState,
@@ -38,12 +39,18 @@
     return this.state.role === 'leader' ? this.confirmedSince : undefined;
   }
 
+  /** See `RaftStatus.previousTerm`. */
+  get previousTerm(): number | undefined {
+    return this.state.role === 'leader' ? this.lastTermBefore : undefined;
+  }
+
   /** Starts leading after an election was won. */
   becomeLeader(): void {
     const { state } = this;
     state.role = 'leader';
     state.leader = state.self;
     this.peers.clear();
+    this.lastTermBefore = state.log.lastTerm;
     this.append(this.firstPayload());
     this.heartbeat();
   }
--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -71,6 +71,7 @@
       replicasSettled: log.replicasIndex <= commitIndex,
       failed,
       confirmedAt: this.leadership.confirmedAt,
+      previousTerm: this.leadership.previousTerm,
     };
   }
 
--- a/src/consensus/raft-options.ts
+++ b/src/consensus/raft-options.ts
@@ -59,4 +59,9 @@
    * change acknowledged before it is applied here. Undefined on other replicas.
    */
   readonly confirmedAt: number | undefined;
+  /**
+   * On a leader: term of the newest entry from before its election. Every leader that was confirmed by a majority has
+   * appended one, so none led between that term and this one.
+   */
+  readonly previousTerm: number | undefined;
 }
--- a/src/control/claim-view-controller.ts
+++ b/src/control/claim-view-controller.ts
@@ -7,12 +7,10 @@
 import type { ClaimView } from '../dedup/claim-view.js';
 import { nextClaimView, type ClaimCandidate } from './claim-view-planner.js';
 import type { CommandLog } from './command-log.js';
+import { CONTROL_ACTOR } from './commands.js';
 import type { Member, MemberTable } from './member-table.js';
 import type { ResourceStore } from './resource-store.js';
 
-/** Actor recorded for changes that control makes itself. */
-const ACTOR = 'shoredoor';
-
 export class ClaimViewController {
   /** Services with a proposal in flight. */
   private readonly pendingServices = new Set<string>();
@@ -47,7 +45,7 @@
       type: 'put',
       resource: view,
       changeId: randomUUID(),
-      actor: ACTOR,
+      actor: CONTROL_ACTOR,
       at: this.wallClock(),
       precondition: current?.version ?? 'absent',
     });
--- a/src/control/command-log.ts
+++ b/src/control/command-log.ts
@@ -1,6 +1,14 @@
 /** Interface of the replicated log as the control server uses it: ordered commands and consistent reads. */
 import type { LogStatus } from '../sync/status-report.js';
-import type { DeclareCommand, DeclareResult, ResourceCommand, ResourceResult } from './commands.js';
+import type { LeaderTerms } from '../quota/group-ceilings.js';
+import type {
+  DeclareCommand,
+  DeclareResult,
+  QuotaCeilingsCommand,
+  QuotaCeilingsResult,
+  ResourceCommand,
+  ResourceResult,
+} from './commands.js';
 
 /** Reason why this replica could not serve a command or a read. */
 export type LogRefusal =
@@ -18,6 +26,7 @@
 
 export interface CommandLog {
   /** Replicates a command, applies it and resolves with its result. */
+  propose(command: QuotaCeilingsCommand): Promise<ProposeResult<QuotaCeilingsResult>>;
   propose(command: ResourceCommand): Promise<ProposeResult<ResourceResult>>;
   propose(command: DeclareCommand): Promise<ProposeResult<DeclareResult>>;
   /**
@@ -26,6 +35,8 @@
    */
   readBarrier(): Promise<LogRefusal | undefined>;
   status(): LogStatus;
+  /** The terms of this leader; undefined if this replica does not lead or no majority has confirmed it yet. */
+  leaderTerms(): LeaderTerms | undefined;
   /** Removes all replicas with a name. @returns false when this replica currently cannot */
   removeReplica(name: string): boolean;
   close(): Promise<void>;
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -5,10 +5,14 @@
 import type { Fault } from '../common/errors.js';
 import type { Resource } from '../policy/resource-schema.js';
 import type { ResourceId, StoredResource } from '../policy/stored-resource.js';
+import type { CeilingRecord } from '../quota/ceiling-record.js';
 
 /** Required current state of a resource: a version, not existing (`absent`), or anything (`any`). */
 export type Precondition = number | 'absent' | 'any';
 
+/** Actor recorded for changes that control makes itself. */
+export const CONTROL_ACTOR = 'shoredoor';
+
 interface CommandBase {
   /** Idempotency key chosen by the client; a retry with the same id gets the original result. */
   readonly changeId: string;
@@ -28,6 +32,22 @@
   readonly target: ResourceId;
 }
 
+/**
+ * Replaces the record of quota ceilings. Stored as the deletion of a resource that cannot exist: versions without ceilings
+ * apply it as such, without effect.
+ */
+export interface QuotaCeilingsCommand extends DeleteCommand {
+  readonly quotaCeilings: CeilingRecord;
+}
+
+/** Target of a {@link QuotaCeilingsCommand}. No resource has an empty name. */
+export const NO_RESOURCE: ResourceId = { kind: 'Group', name: '' };
+
+/** Result of a {@link QuotaCeilingsCommand}. */
+export interface QuotaCeilingsResult {
+  readonly type: 'recorded';
+}
+
 /**
  * Replaces the declared set `baseVersion` by `version` in one revision. Carries only the differences between the two.
  */
@@ -47,14 +67,14 @@
 /** A change of one resource. */
 export type ResourceCommand = PutCommand | DeleteCommand;
 
-export type Command = ResourceCommand | DeclareCommand;
+export type Command = ResourceCommand | DeclareCommand | QuotaCeilingsCommand;
 
 /** Result of a {@link DeclareCommand}. */
 export type DeclareResult =
   | { readonly type: 'declared'; readonly revision: number; readonly version: number }
   | { readonly type: 'version-conflict'; readonly currentVersion: number };
 
-export type CommandResult = ResourceResult | DeclareResult;
+export type CommandResult = ResourceResult | DeclareResult | QuotaCeilingsResult;
 
 /** Result of a {@link ResourceCommand}. */
 export type ResourceResult =
--- a/src/control/quarantine-controller.ts
+++ b/src/control/quarantine-controller.ts
@@ -7,14 +7,13 @@
 import type { QuarantineResource } from '../policy/resource-schema.js';
 import type { CrashEvidence } from '../quarantine/crash-evidence.js';
 import type { CommandLog } from './command-log.js';
+import { CONTROL_ACTOR } from './commands.js';
 import type { ResourceStore } from './resource-store.js';
 
-/** Actor recorded for changes that control makes itself. */
-const ACTOR = 'shoredoor';
 /** Duration of the first quarantine of a request, in milliseconds. */
 const FIRST_TERM_MS = 10 * 60_000;
 /** Factor by which each further term is longer than the one before. */
-const TERM_FACTOR = 4;
+const TERM_FCONTROL_ACTOR = 4;
 /** Maximum duration of one term, in milliseconds. */
 const MAX_TERM_MS = 24 * 60 * 60_000;
 /** Time after a quarantine during which a single further crash renews it, in milliseconds. */
@@ -107,7 +106,7 @@
   }
 
   private async put(fingerprint: string, terms: number): Promise<void> {
-    const termMs = Math.min(MAX_TERM_MS, FIRST_TERM_MS * TERM_FACTOR ** (terms - 1));
+    const termMs = Math.min(MAX_TERM_MS, FIRST_TERM_MS * TERM_FCONTROL_ACTOR ** (terms - 1));
     const until = this.options.wallClock() + termMs;
     await this.declare(quarantineOf(fingerprint, { inForce: true, until, terms }));
   }
@@ -132,7 +131,7 @@
     const outcome = await log.propose({
       ...change,
       changeId: randomUUID(),
-      actor: ACTOR,
+      actor: CONTROL_ACTOR,
       at: wallClock(),
       precondition: current?.version ?? 'absent',
     });
--- a/src/control/replicated-command-log.ts
+++ b/src/control/replicated-command-log.ts
@@ -4,12 +4,15 @@
 import type { ProposalOutcome, RaftStatus } from '../consensus/raft-options.js';
 import { allReplicas } from '../consensus/peer-progress.js';
 import type { ReplicaHost } from '../consensus/replica-host.js';
+import type { LeaderTerms } from '../quota/group-ceilings.js';
 import type { LogStatus } from '../sync/status-report.js';
 import type { CommandLog, LogRefusal, ProposeResult } from './command-log.js';
 import type {
   Command,
   DeclareCommand,
   DeclareResult,
+  QuotaCeilingsCommand,
+  QuotaCeilingsResult,
   ResourceCommand,
   ResourceResult,
 } from './commands.js';
@@ -25,6 +28,7 @@
     private readonly host: ReplicaHost,
   ) {}
 
+  propose(command: QuotaCeilingsCommand): Promise<ProposeResult<QuotaCeilingsResult>>;
   propose(command: ResourceCommand): Promise<ProposeResult<ResourceResult>>;
   propose(command: DeclareCommand): Promise<ProposeResult<DeclareResult>>;
   propose<Result>(command: Command): Promise<ProposeResult<Result>> {
@@ -69,6 +73,12 @@
     };
   }
 
+  leaderTerms(): LeaderTerms | undefined {
+    const status = this.host.raftStatus;
+    if (status?.confirmedAt === undefined || status.previousTerm === undefined) return undefined;
+    return { term: status.term, previousTerm: status.previousTerm };
+  }
+
   removeReplica(name: string): boolean {
     return this.host.removeReplica(name);
   }
--- a/src/control/resource-store.ts
+++ b/src/control/resource-store.ts
@@ -1,5 +1,5 @@
 /**
- * Replicated state of control: resources with their versions, and results of recent changes. A deterministic state machine: the
+ * Replicated state of control: resources with their versions, results of recent changes, and quota ceilings. A deterministic state machine: the
  * same commands in the same order give the same state and results on every replica. It reads no clock; times are part of commands.
  */
 import {
@@ -12,6 +12,7 @@
 } from '../policy/stored-resource.js';
 import { conflictFaults } from '../policy/policy-conflicts.js';
 import type { Resource } from '../policy/resource-schema.js';
+import type { CeilingRecord } from '../quota/ceiling-record.js';
 import { ChangeHistory } from './change-history.js';
 import type {
   Command,
@@ -31,6 +32,7 @@
   private readonly idempotencyRecords = new IdempotencyRecords();
   private readonly history = new ChangeHistory();
   private currentRevision = 0;
+  private currentQuotaCeilings: CeilingRecord | undefined;
   /** Accepted declared sets. */
   readonly declarations = new DeclarationHistory();
 
@@ -39,6 +41,11 @@
     return this.currentRevision;
   }
 
+  /** The last record of quota ceilings. Not part of the configuration: it has no revision. */
+  get quotaCeilings(): CeilingRecord | undefined {
+    return this.currentQuotaCeilings;
+  }
+
   /** Oldest revision from which {@link changesSince} can resume. */
   get oldestResumable(): number {
     return this.history.oldestResumable(this.currentRevision);
@@ -66,6 +73,10 @@
   /** Applies a command. A retry with the same change id returns the original result. */
   apply(command: Command): CommandResult {
     if (command.type === 'declare') return this.declare(command);
+    if ('quotaCeilings' in command) {
+      this.currentQuotaCeilings = command.quotaCeilings;
+      return { type: 'recorded' };
+    }
     const earlier = this.idempotencyRecords.resultFor(command);
     if (earlier !== undefined) return earlier;
     const revision = this.currentRevision + 1;
@@ -81,6 +92,7 @@
       resources: this.list(),
       remembered: this.idempotencyRecords.list(),
       declarations: this.declarations.list(),
+      ...(this.currentQuotaCeilings && { quotaCeilings: this.currentQuotaCeilings }),
     };
   }
 
@@ -94,6 +106,7 @@
     this.history.clear();
     this.currentRevision = snapshot.revision;
     this.declarations.restore(snapshot.declarations ?? []);
+    this.currentQuotaCeilings = snapshot.quotaCeilings;
   }
 
   private declare(command: DeclareCommand): DeclareResult {
--- a/src/programs/control-parts.ts
+++ b/src/programs/control-parts.ts
@@ -128,7 +128,7 @@
 }
 
 function createFollowerApi(parts: StoreParts): FollowerApi {
-  const { settings, clock, store, members, notifier, log, evidence } = parts;
+  const { settings, logger, clock, store, members, notifier, log, evidence } = parts;
   // Identifies this run of the replica: endpoint versions of different runs are not comparable.
   const source = `${settings.id}@${Date.now()}`;
   return new FollowerApi({
@@ -136,7 +136,14 @@
     store,
     members,
     evidence,
-    quotas: new QuotaGranter(store, settings.quota, grantsKnownSince(settings, clock.now())),
+    quotas: new QuotaGranter({
+      store,
+      log,
+      rule: settings.quota,
+      startedAt: grantsKnownSince(settings, clock.now()),
+      wallClock,
+      logger: logger.part('quota'),
+    }),
     log,
     notifier,
     linkToken: settings.linkToken,
--- a/src/quota/commitments.ts
+++ b/src/quota/commitments.ts
@@ -20,6 +20,8 @@
   /** The part of `committed` that belongs to ingresses which started without any grant. */
   readonly committedToFresh: number;
   readonly offered: number;
+  /** Number of ingresses with offered requests. */
+  readonly active: number;
 }
 
 /** Upper bound on the requests that the ingress may run in a window. */
@@ -51,13 +53,13 @@
   add(commitment: Commitment, isFresh: boolean): void {
     const { group, offered } = commitment.use;
     this.commit(group, committedOf(commitment), isFresh);
-    this.sums(group).offered += offered;
+    this.countDemand(group, offered, 1);
   }
 
   remove(commitment: Commitment, isFresh: boolean): void {
     const { group, offered } = commitment.use;
     this.commit(group, -committedOf(commitment), isFresh);
-    this.sums(group).offered -= offered;
+    this.countDemand(group, offered, -1);
   }
 
   /** Adds to the committed requests of a group; a negative amount subtracts. */
@@ -67,8 +69,19 @@
     if (isFresh) sums.committedToFresh += requests;
   }
 
+  private countDemand(group: string, offered: number, sign: 1 | -1): void {
+    const sums = this.sums(group);
+    sums.offered += sign * offered;
+    if (offered > 0) sums.active += sign;
+  }
+
   private sums(group: string): { -readonly [Sum in keyof GroupTotals]: number } {
-    const sums = this.totals.get(group) ?? { committed: 0, committedToFresh: 0, offered: 0 };
+    const sums = this.totals.get(group) ?? {
+      committed: 0,
+      committedToFresh: 0,
+      offered: 0,
+      active: 0,
+    };
     this.totals.set(group, sums);
     return sums;
   }
--- a/src/quota/grant-rule.ts
+++ b/src/quota/grant-rule.ts
@@ -3,7 +3,7 @@
  * amounts are requests per window. docs/design/shifted-work.md describes the algorithm.
  */
 import { committedOf, type Commitment, type GroupTotals } from './commitments.js';
-import { QUOTA_LEASE_MS, type GroupUse } from './quota-messages.js';
+import { QUOTA_LEASE_MS } from './quota-messages.js';
 
 /** Minimum spare on top of the offered requests, so that demand may rise before the next report. */
 const MIN_SPARE = 1;
@@ -25,10 +25,16 @@
   readonly totals: GroupTotals;
   /** Requests per window that may be granted to all ingresses together. */
   readonly limit: number;
+  /** Requests per window that may be committed to all ingresses now; at most the limit. */
+  readonly ceiling: number;
+  /** Requests per window that earlier leaders may have committed; at most the limit. */
+  readonly inherited: number;
   /** Length of the window, in milliseconds. */
   readonly windowMs: number;
   /** Time since this replica began to record grants, in milliseconds. */
   readonly knownForMs: number;
+  /** Whether some ingress that may hold a grant of an earlier leader has not reported since. */
+  readonly hasSilentIngress: boolean;
   /** Whether the ingress started without any grant. */
   readonly isFresh: boolean;
   /** Fraction of all ingresses that are fresh. Called only while grants of an earlier leader may still be valid. */
@@ -40,40 +46,49 @@
  * of others without being usable.
  */
 export function allowanceOf(inputs: GrantInputs): number {
-  const { commitment, totals, limit } = inputs;
-  const free = Math.max(0, limit - (totals.committed - committedOf(commitment)));
+  const { commitment, totals, ceiling } = inputs;
+  const free = Math.max(0, ceiling - (totals.committed - committedOf(commitment)));
   const most = Math.min(free, maxWhileGrantsUnknown(inputs));
-  return Math.floor(Math.min(most, desiredAllowance(commitment.use, totals.offered, limit)));
+  return Math.floor(Math.min(most, desiredAllowance(inputs)));
 }
 
 /**
  * Upper bound of a grant while grants of an earlier leader may still be valid but unknown here, for example those of a
  * partitioned ingress. Until these have expired, an ingress keeps at most what it holds, so that the quota isn't exceeded.
  *
- * Former grants of fresh ingresses are void, so their share of the limit is granted anew after one window, when the requests
- * from before their restart no longer count. Otherwise all requests would be refused for longer after a full restart.
+ * A later leader knows the grants of its predecessor from reports, except for the last ones to an ingress that has been silent
+ * since. Together with those that are known, these are at most the inherited ceiling.
+ *
+ * Fresh ingresses get what earlier leaders cannot have committed at once. Their own former grants are void, so their share of
+ * the limit is granted anew after one window, when the requests from before their restart no longer count. Otherwise all
+ * requests would be refused for longer after a full restart.
  */
 function maxWhileGrantsUnknown(inputs: GrantInputs): number {
-  const { commitment, totals, limit, windowMs, knownForMs, isFresh, freshPart } = inputs;
-  if (knownForMs >= QUOTA_LEASE_MS + windowMs) return Infinity;
-  if (!isFresh || knownForMs < windowMs) return commitment.use.held;
+  const { commitment, totals, limit, inherited, windowMs, knownForMs } = inputs;
+  const { isFresh, hasSilentIngress } = inputs;
+  const { held } = commitment.use;
+  const unreserved = limit - inherited;
+  if (knownForMs >= QUOTA_LEASE_MS + windowMs) {
+    if (!hasSilentIngress) return Infinity;
+    return Math.max(held, unreserved - (totals.committed - committedOf(commitment)));
+  }
+  if (!isFresh) return held;
   const given = totals.committedToFresh - committedOf(commitment);
-  return Math.max(0, limit * freshPart() - given);
+  if (knownForMs < windowMs || hasSilentIngress) return Math.max(held, unreserved - given);
+  return Math.max(0, Math.max(unreserved, limit * inputs.freshPart()) - given);
 }
 
 /**
  * Returns the allowance that an ingress should have. Up to the overload ratio: its offered requests plus a spare that
- * shrinks as total demand approaches the limit. Above: a share of the limit in proportion to its offered requests.
+ * shrinks as total demand approaches the ceiling. Above: a share of the limit in proportion to its offered requests.
  */
-function desiredAllowance(
-  { offered, used }: GroupUse,
-  offeredToAll: number,
-  limit: number,
-): number {
+function desiredAllowance({ commitment, totals, limit, ceiling }: GrantInputs): number {
+  const { offered, used } = commitment.use;
+  const offeredToAll = totals.offered;
   if (offered === 0 && used === 0) return 0;
   const part = offered / Math.max(1, offeredToAll);
   if (offeredToAll > OVERLOAD_RATIO * limit) return limit * OVERLOAD_GRANTED_FRACTION * part;
-  const left = Math.max(0, limit - offeredToAll);
-  const spare = (left / limit) * left * part;
+  const left = Math.max(0, ceiling - offeredToAll);
+  const spare = (left / ceiling) * left * part;
   return offered + Math.max(MIN_SPARE, Math.min(spare, offered + START_SPARE));
 }
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -7,6 +7,7 @@
  */
 import { allowanceOf } from './grant-rule.js';
 import { committedOf, CommitmentTotals, unconfirmed, type Commitment } from './commitments.js';
+import { GroupCeilings, type CeilingLog, type LeaderTerms } from './group-ceilings.js';
 import {
   QUOTA_LEASE_MS,
   type GroupGrant,
@@ -20,6 +21,8 @@
   readonly windowMs: number;
   /** Requests of a group that may be granted per window; undefined if the group has no limit. */
   readonly limitOf: (group: string) => number | undefined;
+  /** The replicated record of how much of each limit may be committed. */
+  readonly ceilingLog: CeilingLog;
 }
 
 interface IngressEntry {
@@ -39,6 +42,8 @@
   readonly group: string;
   /** Requests per window. */
   readonly amount: number;
+  /** Whether the process was fresh: its requests come out of the same part of the limit as those of its successor. */
+  readonly isFresh: boolean;
   /** When the last of these requests leaves the window, in monotonic milliseconds. */
   readonly until: number;
 }
@@ -50,21 +55,34 @@
 export class QuotaLedger {
   private readonly ingresses = new Map<string, IngressEntry>();
   private readonly totals = new CommitmentTotals();
+  private readonly ceilings: GroupCeilings;
   private pastUses: PastUse[] = [];
+  /** Begin of the leadership since which every ingress is known to have reported. */
+  private heardAllSince: number | undefined;
 
   /** @param startedAt when this replica began to record grants, in monotonic milliseconds */
   constructor(
     private readonly options: QuotaLedgerOptions,
     private readonly startedAt: number,
-  ) {}
+  ) {
+    this.ceilings = new GroupCeilings(options.windowMs, options.ceilingLog);
+  }
 
   /**
    * Processes a report of an ingress. A replica that is not the leader computes the same grants, so that it knows
    * approximately what the ingress holds if it becomes the leader.
+   * @param terms undefined if this replica does not lead
    * @returns the grants to answer with; undefined if a newer report was already processed
    */
-  onReport(id: string, report: QuotaReport, now: number): QuotaGrants | undefined {
+  onReport(
+    id: string,
+    report: QuotaReport,
+    terms: LeaderTerms | undefined,
+    now: number,
+  ): QuotaGrants | undefined {
     this.expire(now);
+    const isComplete = now - this.startedAt >= QUOTA_LEASE_MS + this.options.windowMs;
+    this.ceilings.onLeadership(terms, isComplete, now);
     const known = this.ingresses.get(id);
     if (known !== undefined && isOlder(report, known)) return undefined;
     const isRestarted = known !== undefined && known.startedAt !== report.startedAt;
@@ -76,7 +94,9 @@
     const entry: IngressEntry = { startedAt, sequence, lastReportAt: now, isFresh, commitments };
     this.ingresses.set(id, entry);
     this.adopt(entry, report, before?.commitments ?? NO_COMMITMENTS);
-    return { sequence, grants: this.grant(entry, now) };
+    const grants = this.grant(entry, now);
+    this.ceilings.review(now);
+    return { sequence, grants };
   }
 
   /** Replaces the previous commitments by the reported ones, and keeps grants that are not yet confirmed. */
@@ -116,17 +136,22 @@
     for (const [group, commitment] of entry.commitments) {
       const limit = this.options.limitOf(group);
       if (limit === undefined) continue;
+      const totals = this.totals.of(group);
       const allowance = allowanceOf({
         commitment,
-        totals: this.totals.of(group),
+        totals,
         limit,
+        ceiling: limit * this.ceilings.onDemand(group, totals, limit, now),
+        inherited: limit * this.ceilings.inheritedOf(group),
         windowMs: this.options.windowMs,
         knownForMs: now - this.startedAt,
+        hasSilentIngress: this.hasSilentIngress(),
         isFresh: entry.isFresh,
         freshPart: () => this.freshPart(),
       });
       grants.push({ group, allowance });
       this.onGranted(entry, commitment, allowance);
+      this.ceilings.onCommitted(group, totals, limit, now);
     }
     return grants;
   }
@@ -138,6 +163,22 @@
     this.totals.commit(commitment.use.group, committedOf(commitment) - before, entry.isFresh);
   }
 
+  /**
+   * Whether some ingress has not reported since this replica began to lead, or ended shortly before. Its last grants are not
+   * known here.
+   */
+  private hasSilentIngress(): boolean {
+    const since = this.ceilings.leadingSince;
+    if (since === undefined || since === this.heardAllSince) return false;
+    const { windowMs } = this.options;
+    if (this.pastUses.some(({ until }) => until - windowMs < since)) return true;
+    for (const { lastReportAt } of this.ingresses.values()) {
+      if (lastReportAt < since) return true;
+    }
+    this.heardAllSince = since;
+    return false;
+  }
+
   /** Fraction of ingresses that started without any grant. */
   private freshPart(): number {
     let fresh = 0;
@@ -152,10 +193,11 @@
 
   /** Removes the entry of a process that has ended; requests it may have run count for one more window. */
   private retire(id: string, entry: IngressEntry, now: number): void {
+    const { isFresh } = entry;
     for (const [group, commitment] of entry.commitments) {
       const amount = committedOf(commitment);
-      this.pastUses.push({ group, amount, until: now + this.options.windowMs });
-      this.totals.commit(group, amount, false);
+      this.pastUses.push({ group, amount, isFresh, until: now + this.options.windowMs });
+      this.totals.commit(group, amount, isFresh);
     }
     this.remove(id, entry);
   }
@@ -170,8 +212,8 @@
   /** Evicts past uses that have left the window, and ingresses whose grants have expired at least one window ago. */
   private expire(now: number): void {
     const { windowMs } = this.options;
-    for (const { group, amount, until } of this.pastUses) {
-      if (until <= now) this.totals.commit(group, -amount, false);
+    for (const { group, amount, isFresh, until } of this.pastUses) {
+      if (until <= now) this.totals.commit(group, -amount, isFresh);
     }
     this.pastUses = this.pastUses.filter(({ until }) => until > now);
     for (const [id, entry] of this.ingresses) {
--- a/test/golden/control-answers.test.ts
+++ b/test/golden/control-answers.test.ts
@@ -3,6 +3,7 @@
  * headers and raw bytes, including the order of the fields.
  */
 import { expect } from 'chai';
+import { SILENT_LOGGER } from '../../src/common/logger.js';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import { ChangeNotifier } from '../../src/control/change-notifier.js';
 import type { CommandLog, LogRefusal } from '../../src/control/command-log.js';
@@ -13,6 +14,7 @@
 import { ResourceStore } from '../../src/control/resource-store.js';
 import { SyncResponder } from '../../src/control/sync-responder.js';
 import { CrashEvidence } from '../../src/quarantine/crash-evidence.js';
+import type { LeaderTerms } from '../../src/quota/group-ceilings.js';
 import { DEFAULT_QUOTA_RULE } from '../../src/quota/quota-rule.js';
 import { Cleanup, startTarget } from '../support/processes.js';
 import { expectGolden, goldenBytes, readGoldenFile, type EncodedMessage } from './golden-file.js';
@@ -37,6 +39,10 @@
     return { problem: this.problem, origins, confirmedAgeMs: 12.5 };
   }
 
+  leaderTerms(): LeaderTerms {
+    return { term: 2, previousTerm: 1 };
+  }
+
   async readBarrier(): Promise<LogRefusal | undefined> {
     return this.barrier;
   }
@@ -61,7 +67,14 @@
       store,
       members,
       evidence,
-      quotas: new QuotaGranter(store, DEFAULT_QUOTA_RULE, clock.now()),
+      quotas: new QuotaGranter({
+        store,
+        log: log as unknown as CommandLog,
+        rule: DEFAULT_QUOTA_RULE,
+        startedAt: clock.now(),
+        wallClock: () => clock.now(),
+        logger: SILENT_LOGGER,
+      }),
       log: log as unknown as CommandLog,
       notifier: new ChangeNotifier(clock),
       linkToken: LINK_TOKEN,
--- a/test/pins/source-texts.test.ts
+++ b/test/pins/source-texts.test.ts
@@ -22,6 +22,7 @@
       'follower',
       'platform',
       'quarantine',
+      'quota',
       'replication',
       'request',
       'target',
