--- a/lab/simulator/quota/hot-group-world.ts
+++ b/lab/simulator/quota/hot-group-world.ts
@@ -2,6 +2,8 @@
  * Replays one group that asks for several times its usual over many ingresses, in virtual time: requests of several kinds, the
  * replicas of control with one leader, and messages that take some milliseconds. A run is determined by its seed.
  */
+import type { CeilingRecord } from '../../../src/quota/ceiling-record.js';
+import type { CeilingLog, LeaderTerms } from '../../../src/quota/group-ceilings.js';
 import { sampleExponential, SeededRandom } from '../../../src/common/random.js';
 import { VirtualClock } from '../../../src/common/virtual-clock.js';
 import type { Group } from '../../../src/policy/group-table.js';
@@ -53,6 +55,7 @@
   readonly reports: number;
 }
 
+const COMMIT_MS = 8;
 const REPLICAS = 3;
 const HEARTBEAT_MS = 1_000;
 const MAX_DELAY_MS = 12;
@@ -84,8 +87,9 @@
     this.checker = new QuotaChecker(rate, run.rule, 0);
     const limit = grantableInWindow(rate, run.rule);
     const { windowMs } = run.rule;
+    const ceilingLog = this.createCeilingLog();
     this.replicas = Array.from({ length: REPLICAS }, () =>
-      QUOTA_STRATEGIES.leases.control({ windowMs, limitOf: () => limit }, -Infinity),
+      QUOTA_STRATEGIES.leases.control({ windowMs, limitOf: () => limit, ceilingLog }, -Infinity),
     );
     this.ingresses = Array.from({ length: run.ingresses }, (_, index) => this.createIngress(index));
   }
@@ -106,6 +110,26 @@
     return { ...this.checker.findings(), seconds, events, reports };
   }
 
+  /** A record that a majority has stored after {@link COMMIT_MS}. */
+  private createCeilingLog(): CeilingLog {
+    let stored: CeilingRecord | undefined;
+    return {
+      record: () => stored,
+      propose: (record, onOutcome) => {
+        this.clock.schedule(COMMIT_MS, () => {
+          stored = record;
+          onOutcome(true);
+        });
+      },
+    };
+  }
+
+  /** Terms of a replica: each leads in a term of its own. */
+  private termsOf(replicaIndex: number): LeaderTerms | undefined {
+    if (replicaIndex !== this.leader) return undefined;
+    return { term: replicaIndex + 1, previousTerm: replicaIndex };
+  }
+
   private createIngress(index: number): IngressSide {
     return QUOTA_STRATEGIES.leases.ingress({
       clock: this.clock,
@@ -131,7 +155,12 @@
     this.replicas.forEach((replica, replicaIndex) => {
       if (only !== undefined && replicaIndex !== only) return;
       this.deliverLater(() => {
-        const grants = replica.onReport(`ingress-${index}`, report, this.clock.now());
+        const grants = replica.onReport(
+          `ingress-${index}`,
+          report,
+          this.termsOf(replicaIndex),
+          this.clock.now(),
+        );
         if (grants === undefined || replicaIndex !== this.leader) return;
         this.deliverLater(() => this.ingresses[index]!.onGrants(grants, sentAt));
       });
--- a/src/quota/commitments.ts
+++ b/src/quota/commitments.ts
@@ -22,6 +22,8 @@
   readonly offered: number;
   /** What is offered if the demand of the last second lasts. */
   readonly projected: number;
+  /** Number of ingresses with offered requests. */
+  readonly active: number;
 }
 
 /** Upper bound on the requests that the ingress may run in a window. */
@@ -53,17 +55,13 @@
   add(commitment: Commitment, isFresh: boolean): void {
     const { group, offered, projected = offered } = commitment.use;
     this.commit(group, committedOf(commitment), isFresh);
-    const sums = this.sums(group);
-    sums.offered += offered;
-    sums.projected += projected;
+    this.countDemand(group, { offered, projected }, 1);
   }
 
   remove(commitment: Commitment, isFresh: boolean): void {
     const { group, offered, projected = offered } = commitment.use;
     this.commit(group, -committedOf(commitment), isFresh);
-    const sums = this.sums(group);
-    sums.offered -= offered;
-    sums.projected -= projected;
+    this.countDemand(group, { offered, projected }, -1);
   }
 
   /** Adds to the committed requests of a group; a negative amount subtracts. */
@@ -73,12 +71,24 @@
     if (isFresh) sums.committedToFresh += requests;
   }
 
+  private countDemand(
+    group: string,
+    { offered, projected }: Required<Pick<GroupUse, 'offered' | 'projected'>>,
+    sign: 1 | -1,
+  ): void {
+    const sums = this.sums(group);
+    sums.offered += sign * offered;
+    sums.projected += sign * projected;
+    if (offered > 0) sums.active += sign;
+  }
+
   private sums(group: string): { -readonly [Sum in keyof GroupTotals]: number } {
     const sums = this.totals.get(group) ?? {
       committed: 0,
       committedToFresh: 0,
       offered: 0,
       projected: 0,
+      active: 0,
     };
     this.totals.set(group, sums);
     return sums;
