--- a/src/routing/expected-duration.ts
+++ b/src/routing/expected-duration.ts
@@ -2,14 +2,16 @@
  * Restricts the candidates for a call that can't be protected in another way to the targets where it is expected to be
  * answered before its deadline. Targets of one service differ in speed, and a few runs take many times as long as usual: at a
  * slow target these exceed the timeout of the route, at a fast one they fit. Does nothing unless a target is known to be too
- * slow for the call, and few runs are long: if all are, because of load, the present choice by load is better. Asked for each attempt, before the choice among the candidates (target-choice.ts).
+ * slow for the call and few runs are long: if all are, because of load, the choice by load is better. Asked for each attempt,
+ * before the choice among the candidates (target-choice.ts).
  *
  * - A call fits a target if a long run there takes no longer than the time that the call has left. The duration of a long run
  *   is the usual one at the target times a ratio that is the same for all targets: the longest run of a single target varies
  *   by large factors, and at slow targets it is cut off by the deadline.
  * - Where it fits nowhere, the targets that are expected to finish soonest are used.
  * - The fuller a target is, the less likely it is used, so that callers with the same knowledge don't fill the fastest one.
- * - Targets of unknown pace get a few calls, by which callers learn their pace.
+ * - Targets of unknown pace get a few calls, by which callers learn their pace: beside those where the call fits, or instead of
+ *   those that are too slow, which may be all that a caller knows if they are the ones of its zone.
  */
 import type { KindPace } from '../call/outcome.js';
 import type { RandomSource } from '../common/random.js';
@@ -24,7 +26,7 @@
 /** Targets whose expected duration is at most this multiple of the shortest count as equally fast. */
 const SOONEST_RATIO = 1.25;
 
-/** Fraction of the choices in which a target of unknown pace is a candidate beside those where the call fits. */
+/** Fraction of the choices in which targets of unknown pace are candidates. */
 const EXPLORATION_FRACTION = 0.2;
 
 /** Shorter durations count as this many milliseconds, so that ratios of them are meaningful. */
@@ -85,15 +87,15 @@
   );
   const fits = ({ usualMs }: KnownEstimate<T>): boolean => usualMs * longRunRatio <= remainingMs;
   if (estimates.filter(isKnown).every(fits)) return candidates;
+  const isRefusing = ({ candidate }: Estimate<T>): boolean =>
+    candidate.isEjected(context.now) || candidate.isOverloaded(trafficClass, context.now);
   const withRoom = estimates.filter(
-    ({ candidate }) =>
-      !candidate.isOverloaded(trafficClass, context.now) && drawRoom(candidate, context, random),
+    (estimate) => !isRefusing(estimate) && drawRoom(estimate.candidate, context, random),
   );
   const fitting = withRoom.filter(isKnown).filter(fits);
-  const selected =
-    fitting.length > 0
-      ? [...fitting, ...selectExplored(withRoom, random)]
-      : selectSoonest(withRoom, meanMs);
+  const explored = selectExplored(withRoom, random);
+  const selected = fitting.length > 0 ? [...fitting, ...explored] : explored;
+  if (selected.length === 0) selected.push(...selectSoonest(withRoom, meanMs));
   return selected.length === 0 ? candidates : selected.map(({ candidate }) => candidate);
 }
 
--- a/src/routing/target-choice.ts
+++ b/src/routing/target-choice.ts
@@ -1,6 +1,6 @@
 /**
  * Chooses the target of an attempt. The candidates are the endpoints of the caller's subset (subset.ts), except those that
- * the call has already tried and those that are shutting down.
+ * the call has already tried, those that are shutting down, and those that are too slow for it (expected-duration.ts).
  *
  * 1. Ejected endpoints are skipped, as long as at least half of the candidates remain.
  * 2. The cheaper of two random endpoints in the caller's zone is used if it is neither full nor slow.
--- a/test/routing/expected-duration.test.ts
+++ b/test/routing/expected-duration.test.ts
@@ -14,6 +14,7 @@
   readonly latencyRatio?: number;
   readonly longRatio?: number;
   readonly overloaded?: boolean;
+  readonly ejected?: boolean;
   readonly zone?: string;
 }
 
@@ -23,12 +24,12 @@
 
 function candidate(target: Target): NamedCandidate {
   const { name, usualMs, latencyRatio = 1, longRatio = LONG_RUN_RATIO, zone = 'a' } = target;
-  const { overloaded = false } = target;
+  const { overloaded = false, ejected = false } = target;
   const occupancy = (): number => target.occupancy ?? 0.1;
   return {
     name,
     zone,
-    isEjected: () => false,
+    isEjected: () => ejected,
     occupancy,
     latencyRatio: () => latencyRatio,
     cost: () => occupancy() * latencyRatio,
@@ -87,6 +88,7 @@
       ),
     ).to.deep.equal(ALL);
     expect(selected([{ ...FAST, overloaded: true }, SLOW], 1_000)).to.deep.equal(['slow']);
+    expect(selected([{ ...FAST, ejected: true }, SLOW], 1_000)).to.deep.equal(['slow']);
     const alike = [FAST, SLOW].map((each) => ({ ...each, longRatio: 1.5 }));
     expect(selected(alike, 300)).to.deep.equal(ALL);
   });
@@ -101,6 +103,13 @@
     expect(selected([{ ...FAST, occupancy: 0.9 }, SLOW, unknown], 1_000)).to.include('unknown');
   });
 
+  // A caller whose zone has only slow targets would never learn of the fast ones in other zones.
+  it('are only those of unknown pace now and then where no known one fits', () => {
+    const unknown = { name: 'unknown', zone: 'b' };
+    const alone = selections([SLOW, unknown], 1_000).filter((each) => each.join() === unknown.name);
+    expect(alone.length).to.be.within(20, 60);
+  });
+
   it('are unchanged, without a random draw, where the call fits everywhere or nothing is known', () => {
     const random = { next: () => expect.fail('drawn'), nextInt: () => expect.fail('drawn') };
     const options = { context: CONTEXT, random };
