--- a/src/routing/balancer.ts
+++ b/src/routing/balancer.ts
@@ -121,7 +121,7 @@
       acceptsRepeats: view.acceptsRepeats,
       hasAlternative:
         request.mustFitMs !== undefined &&
-        usable.some((other) => other !== view && isPreferable(other, context)),
+        usable.some((other) => other !== view && canTakeCall(other, trafficClass, context)),
       end: (result, outcome) =>
         this.onEnd(view, { trafficClass, priority, startedAt: now, result, outcome }),
     };
@@ -227,6 +227,11 @@
   }
 }
 
+/** Whether an endpoint has room for a call of a traffic class and refused none lately. */
+function canTakeCall(view: EndpointView, trafficClass: string, context: CostContext): boolean {
+  return isPreferable(view, context) && !view.isOverloaded(trafficClass, context.now);
+}
+
 /** Whether the gate has no available target. A refusal with a crash note concerns only the one request. */
 function isUnavailable(outcome: ReportedOutcome | undefined): boolean {
   return outcome?.refusal === 'unavailable' && outcome.crashNote === undefined;
