--- a/src/admission/path-bottlenecks.ts
+++ b/src/admission/path-bottlenecks.ts
@@ -73,6 +73,15 @@
     state.pressure += weight * ((told?.pressure ?? 1) - state.pressure);
   }
 
+  /** Whether a service that the target's calls reach is under pressure, whichever kinds make these calls. */
+  get isAnyDownstream(): boolean {
+    const now = this.options.clock.now();
+    for (const { pressure, toldAt } of this.routes.values()) {
+      if (pressure >= MIN_TOLD_PRESSURE && now - toldAt <= MAX_AGE_MS) return true;
+    }
+    return false;
+  }
+
   /** The bottleneck to tell with the answer to a call of `kind`; undefined if its path is under no pressure. */
   bottleneckOf(kind: string): Bottleneck | undefined {
     const { clock, service, pressure, shares } = this.options;
--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -46,6 +46,8 @@
   /** Admitted part by importance, and when it was last above {@link SHUT_BELOW}. */
   private readonly parts = new Array<number>(IMPORTANCE_COUNT).fill(1);
   private readonly shutSince: number[];
+  /** Lowest importance with work for the service. */
+  private lowestOffered: number = IMPORTANCE_COUNT;
 
   constructor(private readonly clock: Clock) {
     this.toldAt = clock.now();
@@ -69,7 +71,8 @@
 
   /** Whether requests of lower ranks are refused in favour of those of one importance, none of which is refused. */
   favours(importance: Importance): boolean {
-    return this.admittedPart < FAVOURS_BELOW && this.parts[importance]! >= FAVOURED_PART;
+    if (this.admittedPart >= FAVOURS_BELOW || importance <= this.lowestOffered) return false;
+    return this.parts[importance]! >= FAVOURED_PART;
   }
 
   /**
@@ -89,6 +92,7 @@
     let total = 0;
     for (const each of offered) total += each;
     let room = this.admittedPart * total;
+    this.lowestOffered = offered.findIndex((work) => work >= MIN_WORK_MS);
     let mayFall = true;
     const falls: boolean[] = [];
     for (let each = 0; each < IMPORTANCE_COUNT; each += 1) {
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -8,6 +8,7 @@
 import { HttpStatus } from '../common/http-status.js';
 import type { CallContext } from '../call/call-context.js';
 import type { Bottleneck } from '../call/outcome.js';
+import { HIGHEST_IMPORTANCE } from '../policy/importance.js';
 import type { WatchedRun } from '../quarantine/crash-watch.js';
 import type { AcceptedRepeats } from '../retry/accepted-repeats.js';
 import type { CallHooks } from './call-hooks.js';
@@ -119,11 +120,17 @@
     return this.services.bottlenecks?.bottleneckOf(this.context.kind);
   }
 
-  /** Whether the first hops refuse lower ranks in favour of this call: the limit by kind would refuse it as well. */
+  /**
+   * Whether the first hops refuse lower ranks in favour of this call: the limit by kind would refuse it as well. The highest
+   * importance is favoured by all of them, whatever this process knows of the ranks.
+   */
   private isFavoured(): boolean {
-    const { isFavoured } = this.services;
-    const bottleneck = isFavoured && this.bottleneck();
-    return bottleneck !== undefined && isFavoured!(bottleneck.service, this.context.importance);
+    const { bottlenecks, isFavoured } = this.services;
+    const { importance } = this.context;
+    if (bottlenecks === undefined || isFavoured === undefined) return false;
+    if (importance === HIGHEST_IMPORTANCE && bottlenecks.isAnyDownstream) return true;
+    const bottleneck = this.bottleneck();
+    return bottleneck !== undefined && isFavoured(bottleneck.service, importance);
   }
 
   /** Records once how the run in the target ended. */
