--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -18,6 +18,10 @@
  */
 const EFFECT_MS = 2_000;
 const FALL_MS = 300;
+/** Longest time that one step of the parts applies, in milliseconds. */
+const MAX_STEP_MS = 100;
+/** Admitted part from which the level is open. */
+const OPEN_ABOVE = 0.999;
 /** Admitted part below which ranks that are admitted in full are favoured. */
 const FAVOURS_BELOW = 0.95;
 /** Part of a rank from which it counts as admitted in full. */
@@ -64,20 +68,23 @@
     this.pressure = before + weight * (Math.max(1, told) - before);
   }
 
+  /** Whether all requests are admitted. */
+  get isOpen(): boolean {
+    return this.admittedPart >= OPEN_ABOVE;
+  }
+
   /** Part of the offered requests that is admitted, over all ranks, 0 to 1. */
   get admittedPart(): number {
     return 1 / this.currentPressure();
   }
 
-  /** Whether requests of lower ranks are refused in favour of those of one importance, none of which is refused. */
+  /** Whether lower ranks are refused in favour of one importance that is admitted in full or nearly so. */
   favours(importance: Importance): boolean {
     if (this.admittedPart >= FAVOURS_BELOW || importance <= this.lowestOffered) return false;
     return this.parts[importance]! >= FAVOURED_PART;
   }
 
-  /**
-   * Part of the requests of one importance that is admitted, 0 to 1.
-   */
+  /** Part of the requests of one importance that is admitted, 0 to 1. */
   admittedPartOf(importance: Importance, mix: OfferedMix): number {
     this.update(mix);
     return this.parts[importance]!;
@@ -87,28 +94,36 @@
   private update(mix: OfferedMix): void {
     const { offered } = mix;
     const now = this.clock.now();
-    const elapsedMs = now - this.updatedAt;
+    const elapsedMs = Math.min(MAX_STEP_MS, now - this.updatedAt);
     this.updatedAt = now;
-    let total = 0;
-    for (const each of offered) total += each;
-    let room = this.admittedPart * total;
-    this.lowestOffered = offered.findIndex((work) => work >= MIN_WORK_MS);
-    let mayFall = true;
-    const falls: boolean[] = [];
-    for (let each = 0; each < IMPORTANCE_COUNT; each += 1) {
-      falls.push(mayFall);
-      mayFall &&= now - this.shutSince[each]! >= EFFECT_MS || !mix.isPresent[each];
-    }
+    const mayFall = this.ranksThatMayFall(mix);
+    let room = this.admittedPart * offered.reduce((total, work) => total + work, 0);
+    this.lowestOffered = IMPORTANCE_COUNT;
     for (let each = IMPORTANCE_COUNT - 1; each >= 0; each -= 1) {
       const own = offered[each]!;
+      const before = this.parts[each]!;
       const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(MIN_WORK_MS, own)));
       room -= own;
-      const lowest = falls[each] ? this.parts[each]! - elapsedMs / FALL_MS : this.parts[each]!;
-      this.parts[each] = Math.max(wanted, lowest);
-      if (this.parts[each]! > SHUT_BELOW && own >= MIN_WORK_MS) this.shutSince[each] = now;
+      const part = Math.max(wanted, mayFall[each] ? before - elapsedMs / FALL_MS : before);
+      this.parts[each] = part;
+      if (own < MIN_WORK_MS) continue;
+      this.lowestOffered = each;
+      if (part > SHUT_BELOW) this.shutSince[each] = now;
     }
   }
 
+  /** By importance: whether all lower ranks are absent, or shut out for long enough. */
+  private ranksThatMayFall({ offered, isPresent }: OfferedMix): boolean[] {
+    const now = this.clock.now();
+    let mayFall = true;
+    return this.parts.map((part, each) => {
+      const isAllowed = mayFall;
+      const isShut = part <= SHUT_BELOW || offered[each]! < MIN_WORK_MS;
+      mayFall &&= !isPresent[each] || (isShut && now - this.shutSince[each]! >= EFFECT_MS);
+      return isAllowed;
+    });
+  }
+
   private currentPressure(): number {
     const silentMs = this.clock.now() - this.toldAt - MAX_NEWS_AGE_MS;
     return silentMs <= 0
--- a/src/ingress/first-hop-room.ts
+++ b/src/ingress/first-hop-room.ts
@@ -112,7 +112,8 @@
     let noRoom: NoRoom | undefined;
     for (const [service, toldAt] of state.toldAt) {
       const target = this.services.get(service);
-      if (target === undefined || this.clock.now() - toldAt > MAX_LINK_AGE_MS) continue;
+      if (target === undefined || target.level.isOpen) continue;
+      if (this.clock.now() - toldAt > MAX_LINK_AGE_MS) continue;
       const admittedPart = target.level.admittedPartOf(importance, this.mixOf(target));
       if (position >= admittedPart && admittedPart < (noRoom?.admittedPart ?? 1)) {
         noRoom = { service, admittedPart };
--- a/src/link/outcome-fields.ts
+++ b/src/link/outcome-fields.ts
@@ -111,7 +111,7 @@
 }
 
 function fromBottleneck({ service, pressure, workMs }: Bottleneck): [string, number, number?] {
-  return workMs === undefined ? [service, pressure] : [service, pressure, workMs];
+  return workMs === undefined ? [service, pressure] : [service, pressure, Math.round(workMs)];
 }
 
 function toBottleneck([service, pressure, workMs]: [string, number, number?]): Bottleneck {
--- a/test/golden/link-frames.test.ts
+++ b/test/golden/link-frames.test.ts
@@ -192,6 +192,13 @@
         bottleneck: { service: 'ledger', pressure: 1.25 },
       }),
     },
+    {
+      name: 'refused, with a bottleneck and the work there',
+      frame: refused({
+        ...FULL_OUTCOME,
+        bottleneck: { service: 'ledger', pressure: 1.25, workMs: 168 },
+      }),
+    },
   ],
   data: [{ name: 'data', frame: { type: 'data', id: 5, bytes: Buffer.from('00ff10', 'hex') } }],
   end: [{ name: 'end', frame: { type: 'end', id: 5 } }],
--- a/test/pins/metrics.test.ts
+++ b/test/pins/metrics.test.ts
@@ -171,6 +171,7 @@
     const settings = sidecarSettings(control.origins.listen, {
       heartbeatIntervalMs: 100,
       stop: { drainMs: 0, timeoutMs: 0 },
+      firstHopRoom: true,
     });
     const sidecar = await startSidecar(settings, SILENT_LOGGER);
     cleanup.add(() => sidecar.stop());
