--- a/test/ingress/ingress-order.test.ts
+++ b/test/ingress/ingress-order.test.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_BODY_LIMITS } from '../../src/http/request-body.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
 import { decideOnHead, type IngressState, type Refused } from '../../src/ingress/ingress-rules.js';
+import type { FirstHopRoom } from '../../src/ingress/first-hop-room.js';
 import { IngressServer, type IngressServerOptions } from '../../src/ingress/ingress-server.js';
 import { LinkPool } from '../../src/link/link-pool.js';
 import { replacedHeaders } from '../../src/link/peer-transport.js';
@@ -66,6 +67,7 @@
   key: string;
   body: string;
   isQuarantined: boolean;
+  hasRoom: boolean;
 }
 
 /** What a client and an operator see of a refused request. */
@@ -146,6 +148,9 @@
       retryBudget: new ServiceRetryBudget({ clock, ...DEFAULT_RETRY_BOUND, gates: () => 1 }),
       nestedRoutes: new NestedRoutes(),
       isQuarantined: () => situation.isQuarantined,
+      room: {
+        admit: () => (situation.hasRoom ? undefined : { service: 'stock', admittedPart: 0.25 }),
+      } as unknown as FirstHopRoom,
     };
     server = createServer((message, response) => {
       stop.phase = situation.phase;
@@ -173,6 +178,7 @@
       key: 'wrong',
       body: 'longer than it may be',
       isQuarantined: true,
+      hasRoom: false,
     };
   });
 
@@ -221,6 +227,7 @@
       { key: 'right' },
       { body: 'short' },
       { isQuarantined: false },
+      { hasRoom: true },
     ];
     for (const part of fixes) {
       Object.assign(situation, part);
@@ -294,6 +301,14 @@
         counted: 'order quarantined',
         drawn: 0,
       },
+      {
+        status: 503,
+        outcome: 'overload',
+        cause: "Service 'stock' has room for 25% of the requests of this rank.",
+        retryAfter: '0.1',
+        counted: 'order overload',
+        drawn: 1,
+      },
       {
         status: 429,
         outcome: 'rate-limited',
