--- a/src/admission/kind-limiter.ts
+++ b/src/admission/kind-limiter.ts
@@ -72,6 +72,8 @@
   readonly isCongested: boolean;
   /** Whether the request can no longer be answered within its objective. */
   readonly missesObjective: boolean;
+  /** Whether the request is counted but not limited. Default false. */
+  readonly isExempt?: boolean;
 }
 
 const DEFAULT_CONDITIONS: EntryConditions = {
@@ -132,7 +134,8 @@
     if (entry.isUncongested) growWithoutAnswer(state, now);
     state.lastRequestAt = now;
     const limit = entry.missesObjective ? MISSED_OBJECTIVE_FRACTION * state.limit : state.limit;
-    if (state.inFlight >= limit) return limitReached(state, limit, entry);
+    if (entry.isExempt !== true && state.inFlight >= limit)
+      return limitReached(state, limit, entry);
     state.inFlight += 1;
     return ENTERED;
   }
--- a/src/gate/call-kind-limit.ts
+++ b/src/gate/call-kind-limit.ts
@@ -39,9 +39,10 @@
   /**
    * Counts the call as in flight, unless its kind is at its limit.
    * @param isNested whether a target makes the call; such calls are not limited by kind
+   * @param isExempt whether the call is counted but not limited, so that the limit stays up to date
    * @returns the cause if the limit is reached
    */
-  acquire(isNested: boolean): KindRefusal | undefined {
+  acquire(isNested: boolean, isExempt = false): KindRefusal | undefined {
     const { kindLimiter, clock, downstreamLevel } = this.services;
     if (isNested) return undefined;
     const usualMs = this.services.kindImpact.baselineMs(this.context.kind);
@@ -51,6 +52,7 @@
       isUncongested: isUncongested(congestionLevel),
       isCongested: this.isCongested(congestionLevel),
       missesObjective: missesObjective(this.context, usualMs),
+      isExempt,
     });
     this.isCounted = entry.type === 'entered';
     return entry.type === 'entered' ? undefined : { ...entry, congestionLevel };
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -66,8 +66,8 @@
   }
 
   acquireKindLimit(): KindRefusal | undefined {
-    const isExempt = (this.options.isPresumedNested ?? this.isNested) || this.isFavoured();
-    return this.kindLimit.acquire(isExempt);
+    const isNested = this.options.isPresumedNested ?? this.isNested;
+    return this.kindLimit.acquire(isNested, !isNested && this.isFavoured());
   }
 
   tryAcquireRetryBudget(): boolean {
