--- a/src/quota/group-heat.ts
+++ b/src/quota/group-heat.ts
@@ -17,19 +17,9 @@
   readonly isLimited: boolean;
 }
 
-export class GroupHeat {
-  private hotSince: number | undefined;
-
-  /** When the group became hot, in monotonic milliseconds; undefined if it is not. */
-  get since(): number | undefined {
-    return this.hotSince;
-  }
-
-  /** Decides anew whether the group is hot. */
-  update({ isLimited, projected, allowance }: WindowDemand, now: number): void {
-    if (!isLimited || projected <= allowance) this.hotSince = undefined;
-    else this.hotSince ??= now;
-  }
+/** Whether the permits of the group are short here because the group is beyond its limit. */
+export function isHot({ isLimited, projected, allowance }: WindowDemand): boolean {
+  return isLimited && projected > allowance;
 }
 
 /** Whether the demand is likely to exceed the allowance, so that control should hear of it at once. */
--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -5,7 +5,7 @@
 import { rateLimitedSeconds } from '../call/retry-after.js';
 import { SlidingWindowCounter } from '../common/sliding-window-counter.js';
 import type { Importance } from '../policy/importance.js';
-import { GroupHeat, isRising, type WindowDemand } from './group-heat.js';
+import { isHot, isRising, type WindowDemand } from './group-heat.js';
 import { KindDemand } from './kind-demand.js';
 import {
   LEAST_RATE_FRACTION,
@@ -49,7 +49,7 @@
   /** All requests, including refused ones. */
   private readonly offered: SlidingWindowCounter;
   private readonly countedMs: number;
-  private readonly heat = new GroupHeat();
+  private hot = false;
   private readonly demand: KindDemand;
   private readonly pacing: PermitPacing;
   private readonly returns = new ReturnTimes();
@@ -65,7 +65,7 @@
 
   /** Whether the group asks for more than its limit, and for more than its allowance here. */
   get isHot(): boolean {
-    return this.heat.since !== undefined;
+    return this.hot;
   }
 
   /**
@@ -88,11 +88,9 @@
 
   /** Decides anew whether the group is hot, also when no request arrives. */
   updateHeat(now: number): void {
-    const before = this.heat.since;
-    this.heat.update(this.windowDemand(now), now);
-    if (before === undefined && this.heat.since !== undefined) {
-      this.pacing.start(this.supply(now), now);
-    }
+    const wasHot = this.hot;
+    this.hot = isHot(this.windowDemand(now));
+    if (!wasHot && this.hot) this.pacing.start(this.supply(now), now);
   }
 
   /** Whether the demand has risen so much that control should hear of it before the allowance is used up. */
@@ -103,10 +101,10 @@
   /** Acquires a permit; undefined if the kind may have none now. */
   tryAcquire(importance: Importance, now: () => number): QuotaPermit | undefined {
     const takenAt = now();
-    const supply = this.supply(takenAt);
-    if (supply.free < 1) return undefined;
-    const isPaced = this.isHot;
-    if (isPaced && !this.pacing.tryTake(importance, supply, takenAt)) return undefined;
+    if (this.used.total(takenAt) + 1 > this.allowed(takenAt)) return undefined;
+    if (this.hot && !this.pacing.tryTake(importance, this.supply(takenAt), takenAt)) {
+      return undefined;
+    }
     const step = this.used.add(takenAt);
     let isTaken = true;
     return {
@@ -137,23 +135,23 @@
     return { group, used, offered, held, projected: Math.round(projected) };
   }
 
-  /** The state for a refused request of this kind. */
+  /** The state for one refused request of this kind; while the group is hot, each is told another time to return. */
   state(importance: Importance, now: number): QuotaState {
     const used = this.used.total(now);
     const isGranted = this.validUntil > now;
     if (!isGranted) return NOTHING_GRANTED;
     const counts = `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`;
-    const isKept = this.isHot && this.supply(now).free >= 1;
+    const isKept = this.hot && this.supply(now).free >= 1;
     const description = isKept ? `${counts} The rest is kept for more urgent kinds.` : counts;
     return { description, retryAfterSeconds: this.retryAfterSeconds(importance, now) };
   }
 
   private retryAfterSeconds(importance: Importance, now: number): number {
     if (this.allowance < 1) return rateLimitedSeconds(undefined);
-    if (!this.isHot) return rateLimitedSeconds(this.used.msToNextExpiry(now));
+    if (!this.hot) return rateLimitedSeconds(this.used.msToNextExpiry(now));
     // Requests that arrive meanwhile take all that the kind gets, so only the end of the surplus helps.
     const earliestMs = this.suffices(importance, now)
-      ? this.msToPermit(importance, now)
+      ? Math.min(this.windowMs, this.msToPermit(importance, now))
       : this.windowMs;
     const spacingMs = this.windowMs / this.allowance;
     return rateLimitedSeconds(this.returns.next(importance, { earliestMs, spacingMs }, now));
--- a/test/quota/hot-group.test.ts
+++ b/test/quota/hot-group.test.ts
@@ -171,7 +171,11 @@
             };
             quota.acquire(request, (permit) => {
               unanswered -= 1;
-              if (permit === undefined) return;
+              if (permit === undefined) {
+                const { retryAfterSeconds } = quota.state('hot', request.importance);
+                expect(retryAfterSeconds).to.be.within(0.2, (3 * WINDOW_MS) / 1_000);
+                return;
+              }
               if (isReleased) permit.release();
               else ranAt.push(clock.now());
             });
