Quota: keep permits for urgent kinds, but refuse nothing that the window still allows

Change: no pace. A kind takes any free permit that leaves what more urgent kinds need beyond what returns; used permits return within a hundredth of a window, not a twentieth; 0.08 in place of 0.05 of the limit is left for urgent requests that wait.

--- a/src/quota/grant-rule.ts
+++ b/src/quota/grant-rule.ts
@@ -14,8 +14,11 @@
  * goes to the ingresses that request it first, which leaves less of the limit unused.
  */
 const OVERLOAD_RATIO = 1.1;
-/** Fraction of the limit that is divided under overload. The rest is reserved for ingresses whose demand starts later. */
-const OVERLOAD_GRANTED_FRACTION = 0.95;
+/**
+ * Fraction of the limit that is divided under overload. The rest is reserved for ingresses whose demand starts later, and for
+ * urgent requests that wait.
+ */
+const OVERLOAD_GRANTED_FRACTION = 0.92;
 
 /** Standard deviations of a random arrival count that a projected demand must exceed the limit by. */
 const PROJECTION_DEVIATIONS = 2;
--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -1,18 +1,14 @@
 /**
  * The permits of one group at one ingress: limits the requests that run in a sliding window to the number that control has
- * granted. Requests above it are refused as `rate-limited`. While the group is hot, its permits are paced.
+ * granted. Requests above it are refused as `rate-limited`. While the group is hot, some are kept for its urgent kinds.
  */
 import { rateLimitedSeconds } from '../call/retry-after.js';
 import { SlidingWindowCounter } from '../common/sliding-window-counter.js';
+import { MS_PER_SECOND } from '../common/units.js';
 import type { Importance } from '../policy/importance.js';
 import { isHot, isRising, type WindowDemand } from './group-heat.js';
 import { KindDemand } from './kind-demand.js';
-import {
-  LEAST_RATE_FRACTION,
-  PACE_HORIZON_MS,
-  PermitPacing,
-  type PermitSupply,
-} from './permit-pacing.js';
+import { PermitReserve, type PermitSupply } from './permit-reserve.js';
 import { PROJECTED_MS, type GroupGrant, type GroupUse } from './quota-messages.js';
 import { ReturnTimes } from './return-times.js';
 
@@ -36,6 +32,9 @@
  */
 const WINDOW_MARGIN = 0.02;
 
+/** Steps of the count of used permits: with fewer, permits return late, and requests are refused below the limit. */
+const USED_STEPS = 100;
+
 /** Counts the requests of one group and issues permits up to the granted allowance. */
 export class GroupQuota {
   /** Requests per window that may run; valid until {@link validUntil}. */
@@ -51,16 +50,16 @@
   private readonly countedMs: number;
   private hot = false;
   private readonly demand: KindDemand;
-  private readonly pacing: PermitPacing;
+  private readonly reserve: PermitReserve;
   private readonly returns = new ReturnTimes();
 
   /** @param windowMs length of the window in milliseconds */
   constructor(private readonly windowMs: number) {
     this.countedMs = windowMs * (1 + WINDOW_MARGIN);
-    this.used = new SlidingWindowCounter(this.countedMs);
+    this.used = new SlidingWindowCounter(this.countedMs, USED_STEPS);
     this.offered = new SlidingWindowCounter(this.countedMs);
     this.demand = new KindDemand();
-    this.pacing = new PermitPacing(this.demand, this.countedMs);
+    this.reserve = new PermitReserve(this.demand, this.countedMs);
   }
 
   /** Whether the group asks for more than its limit, and for more than its allowance here. */
@@ -88,9 +87,7 @@
 
   /** Decides anew whether the group is hot, also when no request arrives. */
   updateHeat(now: number): void {
-    const wasHot = this.hot;
     this.hot = isHot(this.windowDemand(now));
-    if (!wasHot && this.hot) this.pacing.start(this.supply(now), now);
   }
 
   /** Whether the demand has risen so much that control should hear of it before the allowance is used up. */
@@ -102,7 +99,7 @@
   tryAcquire(importance: Importance, now: () => number): QuotaPermit | undefined {
     const takenAt = now();
     if (this.used.total(takenAt) + 1 > this.allowed(takenAt)) return undefined;
-    if (this.hot && !this.pacing.tryTake(importance, this.supply(takenAt), takenAt)) {
+    if (this.hot && !this.reserve.mayTake(importance, this.supply(takenAt), takenAt)) {
       return undefined;
     }
     const step = this.used.add(takenAt);
@@ -117,14 +114,14 @@
 
   /** Whether a hot group gets permits fast enough for all requests of this kind. */
   suffices(importance: Importance, now: number): boolean {
-    return this.pacing.suffices(importance, this.supply(now), now);
+    return this.reserve.suffices(importance, this.supply(now), now);
   }
 
   /** Time until a request of this kind may obtain a permit of a hot group, in milliseconds. */
   msToPermit(importance: Importance, now: number): number {
     const supply = this.supply(now);
     const msToFree = supply.free < 1 ? this.used.msToNextExpiry(now) : 0;
-    return Math.max(msToFree, this.pacing.msToPermit(importance, supply, now));
+    return Math.max(msToFree, this.reserve.msToPermit(importance, supply, now));
   }
 
   /** The usage of the group, for the report to control. */
@@ -168,10 +165,9 @@
   private supply(now: number): PermitSupply {
     const allowance = this.allowed(now);
     const free = Math.max(0, allowance - this.used.total(now));
-    const returning = this.used.expiringWithin(PACE_HORIZON_MS, now);
-    const leastPerMs = (LEAST_RATE_FRACTION * allowance) / this.countedMs;
-    const neededLater = this.used.largestLead(leastPerMs, now);
-    return { allowance, free, returning, neededLater };
+    const neededFor = (perSecond: number): number =>
+      this.used.largestLead(perSecond / MS_PER_SECOND, now);
+    return { allowance, free, neededFor };
   }
 
   private allowed(now: number): number {
