--- a/src/quota/group-quota.ts
+++ b/src/quota/group-quota.ts
@@ -1,18 +1,14 @@
 /**
  * The permits of one group at one ingress: limits the requests that run in a sliding window to the number that control has
- * granted. Requests above it are refused as `rate-limited`. While the group is hot, its permits are paced.
+ * granted. Requests above it are refused as `rate-limited`. While the group is hot, some are kept for its urgent kinds.
  */
 import { rateLimitedSeconds } from '../call/retry-after.js';
 import { SlidingWindowCounter } from '../common/sliding-window-counter.js';
+import { MS_PER_SECOND } from '../common/units.js';
 import type { Importance } from '../policy/importance.js';
-import { GroupHeat, isRising, type WindowDemand } from './group-heat.js';
+import { isHot, isRising, type WindowDemand } from './group-heat.js';
 import { KindDemand } from './kind-demand.js';
-import {
-  LEAST_RATE_FRACTION,
-  PACE_HORIZON_MS,
-  PermitPacing,
-  type PermitSupply,
-} from './permit-pacing.js';
+import { PermitReserve, type PermitSupply } from './permit-reserve.js';
 import { PROJECTED_MS, type GroupGrant, type GroupUse } from './quota-messages.js';
 import { ReturnTimes } from './return-times.js';
 
@@ -36,6 +32,9 @@
  */
 const WINDOW_MARGIN = 0.02;
 
+/** Steps of the count of used permits: with fewer, permits return late, and requests are refused below the limit. */
+const USED_STEPS = 100;
+
 /** Counts the requests of one group and issues permits up to the granted allowance. */
 export class GroupQuota {
   /** Requests per window that may run; valid until {@link validUntil}. */
@@ -49,23 +48,23 @@
   /** All requests, including refused ones. */
   private readonly offered: SlidingWindowCounter;
   private readonly countedMs: number;
-  private readonly heat = new GroupHeat();
+  private hot = false;
   private readonly demand: KindDemand;
-  private readonly pacing: PermitPacing;
+  private readonly reserve: PermitReserve;
   private readonly returns = new ReturnTimes();
 
   /** @param windowMs length of the window in milliseconds */
   constructor(private readonly windowMs: number) {
     this.countedMs = windowMs * (1 + WINDOW_MARGIN);
-    this.used = new SlidingWindowCounter(this.countedMs);
+    this.used = new SlidingWindowCounter(this.countedMs, USED_STEPS);
     this.offered = new SlidingWindowCounter(this.countedMs);
     this.demand = new KindDemand();
-    this.pacing = new PermitPacing(this.demand, this.countedMs);
+    this.reserve = new PermitReserve(this.demand, this.countedMs);
   }
 
   /** Whether the group asks for more than its limit, and for more than its allowance here. */
   get isHot(): boolean {
-    return this.heat.since !== undefined;
+    return this.hot;
   }
 
   /**
@@ -88,11 +87,7 @@
 
   /** Decides anew whether the group is hot, also when no request arrives. */
   updateHeat(now: number): void {
-    const before = this.heat.since;
-    this.heat.update(this.windowDemand(now), now);
-    if (before === undefined && this.heat.since !== undefined) {
-      this.pacing.start(this.supply(now), now);
-    }
+    this.hot = isHot(this.windowDemand(now));
   }
 
   /** Whether the demand has risen so much that control should hear of it before the allowance is used up. */
@@ -103,10 +98,10 @@
   /** Acquires a permit; undefined if the kind may have none now. */
   tryAcquire(importance: Importance, now: () => number): QuotaPermit | undefined {
     const takenAt = now();
-    const supply = this.supply(takenAt);
-    if (supply.free < 1) return undefined;
-    const isPaced = this.isHot;
-    if (isPaced && !this.pacing.tryTake(importance, supply, takenAt)) return undefined;
+    if (this.used.total(takenAt) + 1 > this.allowed(takenAt)) return undefined;
+    if (this.hot && !this.reserve.mayTake(importance, this.supply(takenAt), takenAt)) {
+      return undefined;
+    }
     const step = this.used.add(takenAt);
     let isTaken = true;
     return {
@@ -119,14 +114,14 @@
 
   /** Whether a hot group gets permits fast enough for all requests of this kind. */
   suffices(importance: Importance, now: number): boolean {
-    return this.pacing.suffices(importance, this.supply(now), now);
+    return this.reserve.suffices(importance, this.supply(now), now);
   }
 
   /** Time until a request of this kind may obtain a permit of a hot group, in milliseconds. */
   msToPermit(importance: Importance, now: number): number {
     const supply = this.supply(now);
     const msToFree = supply.free < 1 ? this.used.msToNextExpiry(now) : 0;
-    return Math.max(msToFree, this.pacing.msToPermit(importance, supply, now));
+    return Math.max(msToFree, this.reserve.msToPermit(importance, supply, now));
   }
 
   /** The usage of the group, for the report to control. */
@@ -137,23 +132,23 @@
     return { group, used, offered, held, projected: Math.round(projected) };
   }
 
-  /** The state for a refused request of this kind. */
+  /** The state for one refused request of this kind; while the group is hot, each is told another time to return. */
   state(importance: Importance, now: number): QuotaState {
     const used = this.used.total(now);
     const isGranted = this.validUntil > now;
     if (!isGranted) return NOTHING_GRANTED;
     const counts = `It has used ${used} of ${this.allowance} here, of ${this.offered.total(now)} asked for.`;
-    const isKept = this.isHot && this.supply(now).free >= 1;
+    const isKept = this.hot && this.supply(now).free >= 1;
     const description = isKept ? `${counts} The rest is kept for more urgent kinds.` : counts;
     return { description, retryAfterSeconds: this.retryAfterSeconds(importance, now) };
   }
 
   private retryAfterSeconds(importance: Importance, now: number): number {
     if (this.allowance < 1) return rateLimitedSeconds(undefined);
-    if (!this.isHot) return rateLimitedSeconds(this.used.msToNextExpiry(now));
+    if (!this.hot) return rateLimitedSeconds(this.used.msToNextExpiry(now));
     // Requests that arrive meanwhile take all that the kind gets, so only the end of the surplus helps.
     const earliestMs = this.suffices(importance, now)
-      ? this.msToPermit(importance, now)
+      ? Math.min(this.windowMs, this.msToPermit(importance, now))
       : this.windowMs;
     const spacingMs = this.windowMs / this.allowance;
     return rateLimitedSeconds(this.returns.next(importance, { earliestMs, spacingMs }, now));
@@ -170,10 +165,9 @@
   private supply(now: number): PermitSupply {
     const allowance = this.allowed(now);
     const free = Math.max(0, allowance - this.used.total(now));
-    const returning = this.used.expiringWithin(PACE_HORIZON_MS, now);
-    const leastPerMs = (LEAST_RATE_FRACTION * allowance) / this.countedMs;
-    const neededLater = this.used.largestLead(leastPerMs, now);
-    return { allowance, free, returning, neededLater };
+    const neededFor = (perSecond: number): number =>
+      this.used.largestLead(perSecond / MS_PER_SECOND, now);
+    return { allowance, free, neededFor };
   }
 
   private allowed(now: number): number {
