Control: batched read barriers and shorter first elections after a restart of everything

Cause: with 90 followers asking at once, each read barrier was a message of its own and a round of the leader; links between replicas take 16 in flight and drop the rest, so barriers ran into their timeout (600 ms) and followers into their pause (200 ms). And a replica that starts waits a whole election timeout for a leader that nobody is. Ruled out: followers' pauses (200 ms), connections (refused at once on loopback). Change: one barrier in flight a replica, later calls share the next; the first timeout from 0.25 of the usual one, doubled until a leader is known. A replica with bootstrap set and a data folder no longer counts all grants as known.

--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -10,22 +10,34 @@
 /** After more than this many consecutive timeouts, the replica asks to join the set: it may have been removed. */
 const TIMEOUTS_BEFORE_REJOIN = 3;
 
+/** Minimum of the first timeout after the start of a replica, in election timeouts. Doubled for each further one, up to 1. */
+const MIN_FIRST_TIMEOUT_FRACTION = 0.25;
+/** Minimum range of the random part, in election timeouts, so that few votes are split. */
+const MIN_SPREAD_FRACTION = 0.5;
+
 export class Election {
   private timer: Timer | undefined;
   /** Consecutive election timeouts without a message from a leader. */
   private timeoutsWithoutLeader = 0;
   private votes = new Set<string>();
+  /**
+   * Minimum delay in election timeouts. Below 1 only until a leader is known: after a restart of all replicas there is none to
+   * wait for, and if there is one, pre-votes don't disrupt it.
+   */
+  private minTimeoutFraction = MIN_FIRST_TIMEOUT_FRACTION;
 
   constructor(
     protected readonly state: RaftState,
     private readonly onElected: () => void,
   ) {}
 
-  /** Restarts the election timer with a random delay of one to two election timeouts. */
+  /** Restarts the election timer with a random delay of one to two election timeouts, less after the start. */
   resetTimer(): void {
     this.timer?.cancel();
     const { options } = this.state;
-    const delayMs = options.electionTimeoutMs * (1 + options.random.next());
+    const fraction = this.minTimeoutFraction;
+    const spread = Math.max(MIN_SPREAD_FRACTION, fraction) * options.random.next();
+    const delayMs = options.electionTimeoutMs * (fraction + spread);
     this.timer = options.clock.schedule(delayMs, () => this.onTimeout());
   }
 
@@ -73,6 +85,7 @@
 
   private onTimeout(): void {
     if (!this.state.isActive) return;
+    this.minTimeoutFraction = Math.min(1, 2 * this.minTimeoutFraction);
     this.resetTimer();
     if (this.state.role === 'leader') {
       this.timeoutsWithoutLeader = 0;
@@ -88,6 +101,7 @@
   /** Resets the election timeout after a message from the leader. */
   onLeaderMessage(): void {
     this.timeoutsWithoutLeader = 0;
+    this.minTimeoutFraction = 1;
     this.resetTimer();
   }
 
@@ -142,7 +156,10 @@
     const count = replicas.voters.filter((voter) => this.votes.has(voter.identity)).length;
     if (!isMajority(count, replicas)) return;
     if (state.role === 'pre-candidate') this.becomeCandidate();
-    else if (state.role === 'candidate') this.onElected();
+    else if (state.role === 'candidate') {
+      this.minTimeoutFraction = 1;
+      this.onElected();
+    }
   }
 
   /** Whether this replica leads or received a leader's message within the election timeout. */
--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -7,6 +7,7 @@
 import { Election } from './election.js';
 import { Leadership } from './leadership.js';
 import { LogReceiver } from './log-receiver.js';
+import { ReadBatch } from './read-batch.js';
 import { PendingReads, type ReadCallback } from './pending-reads.js';
 import type { ProposalCallback, RaftOptions, RaftStatus } from './raft-options.js';
 import { RaftState } from './raft-state.js';
@@ -34,6 +35,7 @@
   private readonly leadership: Leadership;
   private readonly receiver: LogReceiver;
   private readonly reads = new PendingReads();
+  private readonly readBatch: ReadBatch;
   private readonly forwardedReads = new Map<number, ReadCallback>();
   private nextReadId = 1;
 
@@ -44,6 +46,9 @@
     this.leadership = new parts.Leadership(this.state, this.applied, this.reads);
     this.election = new parts.Election(this.state, () => this.leadership.becomeLeader());
     this.receiver = new LogReceiver(this.state, this.applied, this.election);
+    this.readBatch = new ReadBatch(options.clock, options.electionTimeoutMs, (callback) =>
+      this.confirmRead(callback),
+    );
   }
 
   /** Starts the election timer. */
@@ -93,23 +98,7 @@
    * read linearizable; with false if no leader could confirm its leadership.
    */
   readBarrier(callback: ReadCallback): void {
-    const { state } = this;
-    if (state.role === 'leader') {
-      this.leadership.confirmRead((index) => this.onReadIndex(index, callback));
-      return;
-    }
-    if (state.leader === undefined || !state.isActive) {
-      callback(false);
-      return;
-    }
-    const readId = this.nextReadId;
-    this.nextReadId += 1;
-    this.forwardedReads.set(readId, callback);
-    const { self: from, term } = state;
-    state.send(state.leader, { type: 'read-request', from, term, readId });
-    state.options.clock.schedule(state.options.electionTimeoutMs, () => {
-      if (this.forwardedReads.delete(readId)) callback(false);
-    });
+    this.readBatch.add(callback);
   }
 
   /** Processes a message from another replica. */
@@ -153,6 +142,26 @@
     }
   }
 
+  private confirmRead(callback: ReadCallback): void {
+    const { state } = this;
+    if (state.role === 'leader') {
+      this.leadership.confirmRead((index) => this.onReadIndex(index, callback));
+      return;
+    }
+    if (state.leader === undefined || !state.isActive) {
+      callback(false);
+      return;
+    }
+    const readId = this.nextReadId;
+    this.nextReadId += 1;
+    this.forwardedReads.set(readId, callback);
+    const { self: from, term } = state;
+    state.send(state.leader, { type: 'read-request', from, term, readId });
+    state.options.clock.schedule(state.options.electionTimeoutMs, () => {
+      if (this.forwardedReads.delete(readId)) callback(false);
+    });
+  }
+
   private onReadIndex(index: number | undefined, callback: ReadCallback): void {
     if (index === undefined) callback(false);
     else this.reads.addWaiting(index, this.applied.appliedIndex, callback);
--- a/src/programs/control-parts.ts
+++ b/src/programs/control-parts.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
+import { ReplicaFolder } from '../consensus/replica-folder.js';
 import type { ReplicaHost } from '../consensus/replica-host.js';
 import { AccessTokens } from '../control/access-tokens.js';
 import { ChangeNotifier } from '../control/change-notifier.js';
@@ -26,6 +27,7 @@
 import { SyncResponder } from '../control/sync-responder.js';
 import { WatchStreams } from '../control/watch-streams.js';
 import { CrashEvidence } from '../quarantine/crash-evidence.js';
+import { DiskFiles } from '../storage/disk-files.js';
 import type { ControlSettings } from '../settings/control-settings.js';
 import { createProcessClock } from './clock-logger.js';
 import { createReplicaHost } from './control-replica.js';
@@ -190,9 +192,13 @@
   return Date.now();
 }
 
-/** Time from which all quota grants are known here. A replica that bootstraps the deployment has no earlier grants. */
-function grantsKnownSince({ bootstrap }: ControlSettings, now: number): number {
-  return bootstrap ? -Infinity : now;
+/**
+ * Time from which all quota grants are known here. A replica that bootstraps the deployment has no earlier grants; one with a
+ * data folder has taken part before, whatever its settings still say.
+ */
+function grantsKnownSince({ bootstrap, dataDir }: ControlSettings, now: number): number {
+  const isNew = !new ReplicaFolder(new DiskFiles(dataDir)).isCreated;
+  return bootstrap && isNew ? -Infinity : now;
 }
 
 function createPlatformListReader(parts: StoreParts): PlatformListReader | undefined {
--- a/test/support/raft-cluster.ts
+++ b/test/support/raft-cluster.ts
@@ -28,10 +28,12 @@
   readonly applied = new Map<string, string[]>();
   private readonly cuts = new Set<string>();
 
+  /** @param skippedDraws the first draws of the nodes are about equal, as their seeds are consecutive */
   constructor(
     names: readonly string[],
     private readonly mechanisms: Partial<RaftMechanisms> = {},
     learners: readonly string[] = [],
+    private readonly skippedDraws = 0,
   ) {
     const replicas: ReplicaSet = {
       voters: names.map(replicaOf),
@@ -95,10 +97,12 @@
     const applied: string[] = [];
     this.applied.set(name, applied);
     const data = Buffer.alloc(0);
+    const random = new SeededRandom(this.nodes.size + 1);
+    for (let draw = 0; draw < this.skippedDraws; draw += 1) random.next();
     const node = new RaftNode(
       {
         clock: this.clock,
-        random: new SeededRandom(this.nodes.size + 1),
+        random,
         storage: INSTANT_STORAGE,
         transport: { send: (to, message) => this.send(name, to, message) },
         stateMachine: {
