--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -133,6 +133,7 @@
 
   private grant(entry: IngressEntry, now: number): GroupGrant[] {
     const grants: GroupGrant[] = [];
+    const hasSilentIngress = this.hasSilentIngress();
     for (const [group, commitment] of entry.commitments) {
       const limit = this.options.limitOf(group);
       if (limit === undefined) continue;
@@ -145,7 +146,7 @@
         inherited: limit * this.ceilings.inheritedOf(group),
         windowMs: this.options.windowMs,
         knownForMs: now - this.startedAt,
-        hasSilentIngress: this.hasSilentIngress(),
+        hasSilentIngress,
         isFresh: entry.isFresh,
         freshPart: () => this.freshPart(),
       });
