--- a/lab/simulator/sidecars/sim-sidecar.ts
+++ b/lab/simulator/sidecars/sim-sidecar.ts
@@ -50,7 +50,7 @@
 import type { SimRoute, SimService } from './call-graph.js';
 import { RequestLineage } from './request-lineage.js';
 import { simGateServices } from './sim-gate-services.js';
-import type { RunEnd, SlotAccount, SlotUse } from './slot-account.js';
+import { endUse, type SlotAccount } from './slot-account.js';
 import { SimPeerTransport } from './sim-peer-transport.js';
 import { NO_TARGET_FAULTS, SimTargetTransport, type TargetFaults } from './sim-target-transport.js';
 import { SimTargetWork, type WorkSpeed } from './sim-target-work.js';
@@ -321,7 +321,15 @@
       { clock, random, faults: () => this.faults() },
       (done) => {
         const isRepeat = this.countArrival(lineage);
-        const use = this.startUse(kind, lineage, clock.now() - arrivedAt);
+        const startedAt = clock.now();
+        const use = this.world.slots.begin({
+          service: this.service.name,
+          call: kind,
+          lineage,
+          target: this.index,
+          waitedMs: startedAt - arrivedAt,
+          startedAt,
+        });
         const work = new SimTargetWork(
           clock,
           random,
@@ -337,14 +345,18 @@
             ),
           (status) => {
             this.reportLoad();
-            this.endUse(use, status < HttpStatus.InternalServerError ? 'answered' : 'failed');
+            endUse(
+              use,
+              status < HttpStatus.InternalServerError ? 'answered' : 'failed',
+              clock.now(),
+            );
             done(status);
           },
         );
         this.activeWork.push(work);
         return {
           cancel: () => {
-            if (work.isRunning) this.endUse(use, 'cancelled');
+            if (work.isRunning) endUse(use, 'cancelled', clock.now());
             work.cancel();
           },
         };
@@ -353,26 +365,6 @@
     );
   }
 
-  private startUse(call: string, lineage: RequestLineage, waitedMs: number): SlotUse {
-    const use: SlotUse = {
-      service: this.service.name,
-      call,
-      lineage,
-      target: this.index,
-      waitedMs,
-      startedAt: this.world.clock.now(),
-      endedAt: Infinity,
-      runEnd: 'cancelled',
-    };
-    this.world.slots.record(use);
-    return use;
-  }
-
-  private endUse(use: SlotUse, runEnd: RunEnd): void {
-    use.endedAt = this.world.clock.now();
-    use.runEnd = runEnd;
-  }
-
   /** Faults injected at this target. */
   private faults(): TargetFaults {
     const faults = this.world.targetFaults(this.service.name);
--- a/lab/simulator/sidecars/slot-account.ts
+++ b/lab/simulator/sidecars/slot-account.ts
@@ -39,6 +39,13 @@
 export class SlotAccount {
   readonly uses: SlotUse[] = [];
 
+  /** Records a run that holds a slot until {@link endUse}. */
+  begin(run: Omit<SlotUse, 'endedAt' | 'runEnd'>): SlotUse {
+    const use: SlotUse = { ...run, endedAt: Infinity, runEnd: 'cancelled' };
+    this.record(use);
+    return use;
+  }
+
   record(use: SlotUse): void {
     this.uses.push(use);
   }
@@ -59,6 +66,12 @@
   }
 }
 
+/** @param now virtual milliseconds */
+export function endUse(use: SlotUse, runEnd: RunEnd, now: number): void {
+  use.endedAt = now;
+  use.runEnd = runEnd;
+}
+
 function shareOf(byKey: Map<string, SlotShare>, { lineage, runEnd }: SlotUse): SlotShare {
   const { route, end } = lineage.request;
   const isLaterAttempt = lineage.clientAttempt > 1;
