Quota: extra grants for urgent requests leave two hundredths of the limit free

Change: extra grants up to 0.98 of the limit; 0.05 undivided again, one deviation kept, so that no more is refused below the limit.

--- a/src/quota/grant-rule.ts
+++ b/src/quota/grant-rule.ts
@@ -18,11 +18,17 @@
  * Fraction of the limit that is divided under overload. The rest is reserved for ingresses whose demand starts later, and for
  * urgent requests that wait.
  */
-const OVERLOAD_GRANTED_FRACTION = 0.92;
+const OVERLOAD_GRANTED_FRACTION = 0.95;
 
 /** Standard deviations of a random arrival count that a projected demand must exceed the limit by. */
 const PROJECTION_DEVIATIONS = 2;
 
+/**
+ * Fraction of the limit up to which urgent requests that wait get more than the share of their ingress. The rest covers
+ * grants that another leader does not know.
+ */
+const URGENT_GRANTED_FRACTION = 0.98;
+
 /** The limit of a group. */
 export interface LimitInputs {
   /** Requests per window that may be granted to all ingresses together. */
@@ -53,7 +59,12 @@
   const { commitment, totals, limit } = inputs;
   const free = Math.max(0, limit - (totals.committed - committedOf(commitment)));
   const most = Math.min(free, maxWhileGrantsUnknown(inputs));
-  return Math.floor(Math.min(most, desiredAllowance(commitment.use, totals.offered, limit)));
+  const { use } = commitment;
+  const desired = desiredAllowance(use, totals.offered, limit);
+  if (totals.offered <= OVERLOAD_RATIO * limit) return Math.floor(Math.min(most, desired));
+  const freeForUrgent = free - (1 - URGENT_GRANTED_FRACTION) * limit;
+  const urgent = Math.min(freeForUrgent, urgentAllowance(use));
+  return Math.floor(Math.min(most, Math.max(desired, urgent)));
 }
 
 /**
@@ -84,21 +95,25 @@
 
 /**
  * Returns the allowance that an ingress should have. Up to the overload ratio: its offered requests plus a spare that
- * shrinks as total demand approaches the limit. Above: a share of the limit in proportion to its offered requests, and what
- * its urgent requests lack: they are few, and where they arrive varies more than the shares do.
+ * shrinks as total demand approaches the limit. Above: a share of the limit in proportion to its offered requests.
  */
 function desiredAllowance(
-  { offered, used, waiting = 0 }: GroupUse,
+  { offered, used }: GroupUse,
   offeredToAll: number,
   limit: number,
 ): number {
   if (offered === 0 && used === 0) return 0;
   const part = offered / Math.max(1, offeredToAll);
-  if (offeredToAll > OVERLOAD_RATIO * limit) {
-    const share = limit * OVERLOAD_GRANTED_FRACTION * part;
-    return waiting > 0 ? Math.max(share, used + waiting) : share;
-  }
+  if (offeredToAll > OVERLOAD_RATIO * limit) return limit * OVERLOAD_GRANTED_FRACTION * part;
   const left = Math.max(0, limit - offeredToAll);
   const spare = (left / limit) * left * part;
   return offered + Math.max(MIN_SPARE, Math.min(spare, offered + START_SPARE));
 }
+
+/**
+ * Returns the allowance with which the urgent requests that wait at an ingress may run: they are few, and where they arrive
+ * varies more than the shares do.
+ */
+function urgentAllowance({ used, waiting = 0 }: GroupUse): number {
+  return waiting > 0 ? used + waiting : 0;
+}
--- a/src/quota/permit-reserve.ts
+++ b/src/quota/permit-reserve.ts
@@ -12,8 +12,8 @@
 
 /** Time in milliseconds whose requests of more urgent kinds may come at once. */
 const BURST_MS = 1_000;
-/** Standard deviations of their number that are kept: their mean returns meanwhile, or is kept in addition. */
-const BURST_DEVIATIONS = 1.2;
+/** Standard deviations of their number that are kept; their mean returns meanwhile, or is kept in addition. */
+const BURST_DEVIATIONS = 1;
 /** Maximum fraction of the allowance that is kept, so that the others always get some. */
 const MAX_KEPT_FRACTION = 0.25;
 
