--- a/src/admission/nested-call-shares.ts
+++ b/src/admission/nested-call-shares.ts
@@ -17,6 +17,10 @@
 const FIT_PASSES = 20;
 /** Part of the remaining squared error that a further kind must explain. */
 const MIN_EXPLAINED = 0.2;
+/** Maximum number of kinds to which the calls of one nested route are attributed; bounds the time of a fit. */
+const MAX_CALLING_KINDS = 6;
+/** Part of the variation of the calls below which further kinds explain nothing but rounding errors. */
+const EXACT_PART = 0.02;
 /** Nested calls per call from which a kind counts as making them. */
 const MIN_CALLS_PER_RUN = 0.3;
 /** Kinds and nested routes that are tracked, to bound the cost of a fit. */
@@ -155,12 +159,13 @@
   private fit(nested: NestedRoute): ReadonlyMap<string, number> {
     let chosen: ReadonlyMap<string, number> = new Map();
     let error = nested.squares;
-    for (;;) {
+    while (chosen.size < MAX_CALLING_KINDS && error > EXACT_PART * nested.squares) {
       const next = this.bestWithOneMore(nested, [...chosen.keys()]);
       if (next === undefined || next.error > (1 - MIN_EXPLAINED) * error) return chosen;
       chosen = next.perRun;
       error = next.error;
     }
+    return chosen;
   }
 
   private bestWithOneMore(
--- a/src/admission/path-bottlenecks.ts
+++ b/src/admission/path-bottlenecks.ts
@@ -65,7 +65,10 @@
     }
     const weight = Math.max(MIN_WEIGHT, 1 - Math.exp((state.toldAt - now) / AVERAGING_MS));
     state.toldAt = now;
-    if (told !== undefined && told.pressure > state.pressure) state.service = told.service;
+    if (told !== undefined && told.service !== state.service && told.pressure > state.pressure) {
+      state.service = told.service;
+      state.workMs = told.workMs;
+    }
     if (told?.service === state.service && told.workMs !== undefined) {
       const before = state.workMs ?? told.workMs;
       state.workMs = before + weight * (told.workMs - before);
--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -102,7 +102,8 @@
     for (let each = IMPORTANCE_COUNT - 1; each >= 0; each -= 1) {
       const own = offered[each]!;
       const before = this.parts[each]!;
-      const wanted = Math.min(1, Math.max(PROBE_PART, room / Math.max(MIN_WORK_MS, own)));
+      const fitting = own > 0 ? room / own : 1;
+      const wanted = Math.min(1, Math.max(PROBE_PART, fitting));
       room -= own;
       const part = Math.max(wanted, mayFall[each] ? before - elapsedMs / FALL_MS : before);
       this.parts[each] = part;
--- a/src/consensus/read-batch.ts
+++ b/src/consensus/read-batch.ts
@@ -33,8 +33,8 @@
     const timeout = this.clock.schedule(this.maxWaitMs, () => this.end(batch));
     this.confirm((isConfirmed) => {
       timeout.cancel();
-      for (const callback of batch) callback(isConfirmed);
       this.end(batch);
+      for (const callback of batch) callback(isConfirmed);
     });
   }
 
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -43,6 +43,9 @@
 /** Target of a {@link QuotaCeilingsCommand}. No resource has an empty name. */
 export const NO_RESOURCE: ResourceId = { kind: 'Group', name: '' };
 
+/** Change id of every {@link QuotaCeilingsCommand}: the results of operators' changes are remembered as long as without them. */
+export const CEILINGS_CHANGE_ID = 'quota-ceilings';
+
 /** Result of a {@link QuotaCeilingsCommand}. */
 export interface QuotaCeilingsResult {
   readonly type: 'recorded';
--- a/src/control/quarantine-controller.ts
+++ b/src/control/quarantine-controller.ts
@@ -13,7 +13,7 @@
 /** Duration of the first quarantine of a request, in milliseconds. */
 const FIRST_TERM_MS = 10 * 60_000;
 /** Factor by which each further term is longer than the one before. */
-const TERM_FCONTROL_ACTOR = 4;
+const TERM_FACTOR = 4;
 /** Maximum duration of one term, in milliseconds. */
 const MAX_TERM_MS = 24 * 60 * 60_000;
 /** Time after a quarantine during which a single further crash renews it, in milliseconds. */
@@ -106,7 +106,7 @@
   }
 
   private async put(fingerprint: string, terms: number): Promise<void> {
-    const termMs = Math.min(MAX_TERM_MS, FIRST_TERM_MS * TERM_FCONTROL_ACTOR ** (terms - 1));
+    const termMs = Math.min(MAX_TERM_MS, FIRST_TERM_MS * TERM_FACTOR ** (terms - 1));
     const until = this.options.wallClock() + termMs;
     await this.declare(quarantineOf(fingerprint, { inForce: true, until, terms }));
   }
--- a/src/control/quota-granter.ts
+++ b/src/control/quota-granter.ts
@@ -2,7 +2,6 @@
  * Answers quota reports of ingresses with grants. Every replica keeps the ledger, with the limits of its configuration, but only
  * the leader grants. The ledger is in memory only: grants expire with their windows. The ceilings of groups are replicated.
  */
-import { randomUUID } from 'node:crypto';
 import type { Logger } from '../common/logger.js';
 import type { CeilingRecord } from '../quota/ceiling-record.js';
 import { CONFIRMED_WITHIN_MS, type CeilingLog } from '../quota/group-ceilings.js';
@@ -72,7 +71,7 @@
       type: 'delete',
       target: NO_RESOURCE,
       precondition: 'any',
-      changeId: randomUUID(),
+      changeId: CEILINGS_CHANGE_ID,
       actor: CONTROL_ACTOR,
       at: wallClock(),
       quotaCeilings: record,
--- a/src/control/resource-store.ts
+++ b/src/control/resource-store.ts
@@ -22,6 +22,8 @@
   Precondition,
   ResourceCommand,
   ResourceResult,
+  QuotaCeilingsCommand,
+  QuotaCeilingsResult,
 } from './commands.js';
 import { DeclarationHistory } from './declaration-history.js';
 import { IdempotencyRecords } from './idempotency-records.js';
@@ -73,10 +75,7 @@
   /** Applies a command. A retry with the same change id returns the original result. */
   apply(command: Command): CommandResult {
     if (command.type === 'declare') return this.declare(command);
-    if ('quotaCeilings' in command) {
-      this.currentQuotaCeilings = command.quotaCeilings;
-      return { type: 'recorded' };
-    }
+    if ('quotaCeilings' in command) return this.recordCeilings(command);
     const earlier = this.idempotencyRecords.resultFor(command);
     if (earlier !== undefined) return earlier;
     const revision = this.currentRevision + 1;
@@ -86,6 +85,15 @@
     return result;
   }
 
+  /** Remembers the command as versions without ceilings do, so that all replicas forget the same changes. */
+  private recordCeilings(command: QuotaCeilingsCommand): QuotaCeilingsResult {
+    this.currentQuotaCeilings = command.quotaCeilings;
+    if (this.idempotencyRecords.resultFor(command) === undefined) {
+      this.idempotencyRecords.record(command, this.preview(command));
+    }
+    return { type: 'recorded' };
+  }
+
   snapshot(): StoreSnapshot {
     return {
       revision: this.currentRevision,
--- a/src/gate/gate-call-hooks.ts
+++ b/src/gate/gate-call-hooks.ts
@@ -69,7 +69,7 @@
   mayRunNow(): boolean {
     const { kindPace, targetLoad, unservedRuns, clock } = this.services;
     const { kind, deadlineAt, isReroutable = false } = this.context;
-    if (isReroutable && unservedRuns.reportedShare() !== undefined) return false;
+    if (isReroutable && unservedRuns.isFailing) return false;
     return mayRunNow({
       isReroutable,
       remainingMs: deadlineAt - clock.now(),
@@ -108,8 +108,8 @@
   onAnswer(status: number, timeInTargetMs: number): void {
     this.kindLimit.onAnswer(status, timeInTargetMs);
     const result = runResultOf(status);
-    // A target that is slow is not one that fails: see `runOutcomes`.
-    if (result !== RunResult.GivenUp)
+    // Being slow or full is not failing: `runOutcomes` and the load tell these.
+    if (result !== RunResult.GivenUp && status !== HttpStatus.ServiceUnavailable)
       this.services.unservedRuns.onRun(result === RunResult.Answered);
     this.endRun(result);
   }
--- a/src/gate/gate-refusals.ts
+++ b/src/gate/gate-refusals.ts
@@ -43,7 +43,7 @@
   return retryableRefusal(
     'target-slowed',
     'not-run',
-    'The target is slowed down and another one can run the call.',
+    'The target is slowed down or fails, and another one can run the call.',
   );
 }
 
--- a/src/gate/inbound-call.ts
+++ b/src/gate/inbound-call.ts
@@ -168,7 +168,9 @@
 
   private onFailure(failure: AttemptFailure): void {
     this.run?.end(failure.written ? RunEnd.Lost : RunEnd.Failed);
-    if (failure.written && failure.reason !== 'caller-gone') this.hooks.onUnserved();
+    if (failure.written && failure.reason !== 'caller-gone' && !this.answerBegan) {
+      this.hooks.onUnserved();
+    }
     this.release(failure.reason === 'caller-gone' ? 'cancelled' : 'dropped');
     const targetState = this.run?.targetState();
     if (this.answerBegan) {
--- a/src/gate/kind-pace-tracker.ts
+++ b/src/gate/kind-pace-tracker.ts
@@ -16,6 +16,9 @@
 /** Cap for a single sample of the usual duration as a multiple of it, so that a few long runs don't raise it much. */
 const MAX_SAMPLE_RATIO = 2;
 
+/** Shorter usual durations count as this many milliseconds when a sample is capped. */
+const MIN_USUAL_MS = 1;
+
 /** Number of answered runs from which a pace is reported. */
 const MIN_RUNS = 8;
 
@@ -104,9 +107,9 @@
   }
 }
 
-/** Averages the first runs evenly: a first run that is long must not count for more than the others. */
+/** Averages the first runs evenly, without a cap: the first ones may be unusually short or long. */
 function updatedUsual({ usualMs, answered }: KindRuns, durationMs: number): number {
-  if (answered === 0) return durationMs;
-  const counted = Math.min(durationMs, MAX_SAMPLE_RATIO * usualMs);
+  const cap = answered < MIN_RUNS ? Infinity : MAX_SAMPLE_RATIO * Math.max(MIN_USUAL_MS, usualMs);
+  const counted = Math.min(durationMs, cap);
   return usualMs + Math.max(SMOOTHING_FACTOR, 1 / (answered + 1)) * (counted - usualMs);
 }
--- a/src/gate/unserved-runs.ts
+++ b/src/gate/unserved-runs.ts
@@ -12,6 +12,9 @@
 /** Time constant with which the share decays without runs, in milliseconds, so that the target is tried again. */
 const DECAY_MS = 10_000;
 
+/** Share from which a call that must not run twice is better off at another target. */
+const FAILING_SHARE = 0.2;
+
 /** Share below which nothing is reported: that of a single unserved run after a served one. */
 const MIN_REPORTED_SHARE = 0.1;
 
@@ -34,6 +37,11 @@
     this.updatedAt = this.clock.now();
   }
 
+  /** Whether so many runs go unserved that a call with another target to go to should not run here. */
+  get isFailing(): boolean {
+    return this.current() >= FAILING_SHARE;
+  }
+
   /** The share to report to callers, 0 to 1; undefined if it is negligible. */
   reportedShare(): number | undefined {
     const share = this.current();
--- a/src/ingress/first-hop-room.ts
+++ b/src/ingress/first-hop-room.ts
@@ -25,6 +25,8 @@
 /** Weight of one answer in the mean time that a request takes of a service, and the time until one is told, in milliseconds. */
 const WORK_WEIGHT = 0.05;
 const DEFAULT_WORK_MS = 100;
+/** Lower bound of the time that a request takes of a service, in milliseconds. */
+const MIN_WORK_MS = 1;
 /** Place of a returning request among those of its rank, as a multiple of that of a new one: it has less time left. */
 const RETURNING_POSITION = 0.5;
 /** Admitted parts below which a level is reported as refusing, and above which as open again. */
@@ -83,7 +85,7 @@
 interface ServiceState {
   readonly level: RoomLevel;
   /** Routes that lead to the service, with the time that one request takes of it, in milliseconds. */
-  readonly routes: Map<RouteState, number>;
+  readonly routes: BoundedMap<number, RouteState>;
   isRefusing: boolean;
   changedAt: number;
 }
@@ -129,10 +131,15 @@
     if (told !== undefined) {
       state.toldAt.set(told.service, this.clock.now());
       const { routes } = this.serviceState(told.service);
-      const workMs = routes.get(state) ?? told.workMs ?? DEFAULT_WORK_MS;
-      routes.set(state, workMs + WORK_WEIGHT * ((told.workMs ?? workMs) - workMs));
+      const before = routes.get(state) ?? told.workMs ?? DEFAULT_WORK_MS;
+      const workMs = before + WORK_WEIGHT * ((told.workMs ?? before) - before);
+      routes.set(state, Math.max(MIN_WORK_MS, workMs));
     }
-    for (const service of state.toldAt.keys()) {
+    for (const [service, toldAt] of state.toldAt) {
+      if (this.clock.now() - toldAt > MAX_LINK_AGE_MS) {
+        this.unlink(state, service);
+        continue;
+      }
       // Another service is told while it is the most loaded one on the path: this one is at most as loaded.
       const pressure = told?.pressure ?? 1;
       this.onPressure(service, pressure, service === told?.service);
@@ -149,6 +156,12 @@
     for (const [service, { level }] of this.services) yield [service, level.admittedPart];
   }
 
+  /** Forgets that a route leads to a service. */
+  private unlink(route: RouteState, service: string): void {
+    route.toldAt.delete(service);
+    this.services.get(service)?.routes.delete(route);
+  }
+
   /** @param isExact whether it is the pressure of the service, and not an upper bound */
   private onPressure(service: string, pressure: number, isExact: boolean): void {
     const state = this.services.get(service);
@@ -193,7 +206,7 @@
     if (state === undefined) {
       state = {
         level: new RoomLevel(this.clock),
-        routes: new Map(),
+        routes: new BoundedMap<number, RouteState>(MAX_ROUTES),
         isRefusing: false,
         changedAt: -Infinity,
       };
--- a/src/link/outcome-fields.ts
+++ b/src/link/outcome-fields.ts
@@ -103,7 +103,7 @@
     ...(rejectedByTarget && { rejectedByTarget }),
     ...(typeof crashNote === 'string' && { crashNote }),
     ...(typeof returnInMs === 'number' && { returnInMs }),
-    ...(isPair(bottleneck) && { bottleneck: toBottleneck(bottleneck) }),
+    ...(isBottleneck(bottleneck) && { bottleneck: toBottleneck(bottleneck) }),
   };
 }
 
@@ -111,6 +111,15 @@
   return Array.isArray(field);
 }
 
+/** A malformed field is ignored: its pressure would stay in averages. */
+function isBottleneck(
+  field: [string, number, number?] | null | undefined,
+): field is [string, number, number?] {
+  if (!isPair(field)) return false;
+  const [service, pressure, workMs = 0] = field;
+  return typeof service === 'string' && Number.isFinite(pressure) && Number.isFinite(workMs);
+}
+
 function toKindPace([usualMs, longMs]: [number, number]): KindPace {
   return { usualMs, longMs };
 }
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -7,6 +7,8 @@
 import {
   decideHedge,
   decideNextStep,
+  GiveUpReason,
+  MIN_RETRY_TIME_MS,
   type FailedAttempt,
   type RetryLimitState,
 } from '../retry/retry-policy.js';
@@ -43,8 +45,8 @@
   OutboundTransport,
 } from '../call/transport.js';
 
-/** Number of gates that may turn a call away for a better target. Two rarely fail or slow down at the same time as a third. */
-const MAX_TURNED_AWAY = 2;
+/** Time that a call must have left to be turned away, in milliseconds: enough for another target to be tried. */
+const MIN_TURN_AWAY_TIME_MS = 50;
 
 export class OutboundCall {
   private readonly triedEndpointIds = new Set<string>();
@@ -53,6 +55,10 @@
   private readonly hedgeTimer: HedgeTimer;
   private deadlineTimer: Timer | undefined;
   private reroutes = 0;
+  /** Endpoint that turned the call away for a better target, and would have run it. */
+  private turnedAwayBy: string | undefined;
+  /** Whether the call has been sent again to the endpoint that had turned it away. */
+  private hasReturned = false;
   private hasAnswerStarted = false;
   private isFinished = false;
 
@@ -112,8 +118,21 @@
 
   private sendAttempt(): void {
     const pick = this.pickTarget(this.isHedgedInTime);
-    if (pick === undefined) this.refuse(this.noTargetCause());
-    else this.sendTo(pick, { isHedge: false });
+    if (pick !== undefined) this.sendTo(pick, { isHedge: false });
+    else this.returnOrRefuse(this.noTargetCause());
+  }
+
+  /** Sends the call to the endpoint that turned it away, if no other one has run it; otherwise refuses it. */
+  private returnOrRefuse(cause: RefusalCause): void {
+    const { turnedAwayBy } = this;
+    const mayRun = this.feedback.verdict === 'not-run' && this.remainingMs >= MIN_RETRY_TIME_MS;
+    if (turnedAwayBy === undefined || this.hasReturned || !mayRun) {
+      this.refuse(cause);
+      return;
+    }
+    this.hasReturned = true;
+    this.triedEndpointIds.delete(turnedAwayBy);
+    this.sendAttempt();
   }
 
   /** @param isHedged whether another target can still answer if the chosen one takes too long */
@@ -138,8 +157,9 @@
 
   /** Whether a refusal of the attempt that is being sent costs the call nothing: others can follow without a retry. */
   private get mayBeTurnedAway(): boolean {
-    const isEarly = this.triedEndpointIds.size <= MAX_TURNED_AWAY;
-    return isEarly && !this.request.repeatable && this.transport.replayable;
+    const isFirst = this.triedEndpointIds.size <= 1 && !this.hasReturned;
+    if (!isFirst || this.request.repeatable || !this.transport.replayable) return false;
+    return this.remainingMs >= MIN_TURN_AWAY_TIME_MS;
   }
 
   /** Milliseconds left until the deadline. */
@@ -221,6 +241,7 @@
     sent.loan.settle(outcome.unspentRetries);
     sent.end(toEndpointResult(outcome), outcome);
     this.recordRefusal(sent.endpoint, outcome);
+    if (outcome.refusal === 'target-slowed') this.turnedAwayBy = sent.endpoint.id;
     this.continueAfter(refusedAttempt(outcome), gateRefusalCause(outcome));
   }
 
@@ -284,7 +305,8 @@
       ...this.retryFunds(),
     });
     if (step.type === 'give-up') {
-      this.refuse(cause);
+      if (step.reason === GiveUpReason.Dangerous) this.refuse(cause);
+      else this.returnOrRefuse(cause);
       return;
     }
     if (step.type === 'retry') this.spendRetry();
--- a/src/routing/expected-duration.ts
+++ b/src/routing/expected-duration.ts
@@ -100,7 +100,8 @@
 }
 
 function meanUsualMs(paces: readonly KindPace[]): number {
-  return paces.reduce((total, { usualMs }) => total + usualMs, 0) / paces.length;
+  const totalMs = paces.reduce((total, { usualMs }) => total + usualMs, 0);
+  return Math.max(MIN_DURATION_MS, totalMs / paces.length);
 }
 
 function typicalLongRunRatio(paces: readonly KindPace[]): number {
@@ -118,7 +119,7 @@
   if (pace === undefined) return { candidate, usualMs: undefined };
   // The latency ratio contains the pace of the target; what exceeds it is a present trouble.
   const excess = candidate.latencyRatio(now) / Math.max(1, pace.usualMs / meanMs);
-  return { candidate, usualMs: pace.usualMs * Math.max(1, excess) };
+  return { candidate, usualMs: Math.max(MIN_DURATION_MS, pace.usualMs) * Math.max(1, excess) };
 }
 
 /** Whether a target may be preferred; less likely the fuller it is. Draws a random number only in between. */
