--- a/src/control/quota-granter.ts
+++ b/src/control/quota-granter.ts
@@ -10,7 +10,7 @@
 import type { QuotaGrants, QuotaReport } from '../quota/quota-messages.js';
 import type { LogStatus } from '../sync/status-report.js';
 import type { CommandLog } from './command-log.js';
-import { CONTROL_ACTOR, NO_RESOURCE } from './commands.js';
+import { CEILINGS_CHANGE_ID, CONTROL_ACTOR, NO_RESOURCE } from './commands.js';
 import type { ResourceStore } from './resource-store.js';
 import { GroupTable } from '../policy/group-table.js';
 
--- a/src/gate/unserved-runs.ts
+++ b/src/gate/unserved-runs.ts
@@ -13,7 +13,7 @@
 const DECAY_MS = 10_000;
 
 /** Share from which a call that must not run twice is better off at another target. */
-const FAILING_SHARE = 0.2;
+const FAILING_SHARE = 0.15;
 
 /** Share below which nothing is reported: that of a single unserved run after a served one. */
 const MIN_REPORTED_SHARE = 0.1;
--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -45,6 +45,9 @@
   OutboundTransport,
 } from '../call/transport.js';
 
+/** Number of gates that may turn a call away for a better target. */
+const MAX_TURNED_AWAY = 2;
+
 /** Time that a call must have left to be turned away, in milliseconds: enough for another target to be tried. */
 const MIN_TURN_AWAY_TIME_MS = 50;
 
@@ -157,8 +160,8 @@
 
   /** Whether a refusal of the attempt that is being sent costs the call nothing: others can follow without a retry. */
   private get mayBeTurnedAway(): boolean {
-    const isFirst = this.triedEndpointIds.size <= 1 && !this.hasReturned;
-    if (!isFirst || this.request.repeatable || !this.transport.replayable) return false;
+    const isEarly = this.triedEndpointIds.size <= MAX_TURNED_AWAY && !this.hasReturned;
+    if (!isEarly || this.request.repeatable || !this.transport.replayable) return false;
     return this.remainingMs >= MIN_TURN_AWAY_TIME_MS;
   }
 
