--- a/src/outbound/outbound-call.ts
+++ b/src/outbound/outbound-call.ts
@@ -8,7 +8,6 @@
   decideHedge,
   decideNextStep,
   GiveUpReason,
-  MIN_RETRY_TIME_MS,
   type FailedAttempt,
   type RetryLimitState,
 } from '../retry/retry-policy.js';
@@ -31,6 +30,7 @@
   THROTTLED,
 } from './call-refusal.js';
 import { HedgeTimer } from './hedge-timer.js';
+import { TurnAways } from './turn-aways.js';
 import type {
   OutboundListener,
   OutboundRequest,
@@ -45,12 +45,6 @@
   OutboundTransport,
 } from '../call/transport.js';
 
-/** Number of gates that may turn a call away for a better target. */
-const MAX_TURNED_AWAY = 2;
-
-/** Time that a call must have left to be turned away, in milliseconds: enough for another target to be tried. */
-const MIN_TURN_AWAY_TIME_MS = 50;
-
 export class OutboundCall {
   private readonly triedEndpointIds = new Set<string>();
   private readonly attempts = new ActiveAttempts();
@@ -58,10 +52,7 @@
   private readonly hedgeTimer: HedgeTimer;
   private deadlineTimer: Timer | undefined;
   private reroutes = 0;
-  /** Endpoint that turned the call away for a better target, and would have run it. */
-  private turnedAwayBy: string | undefined;
-  /** Whether the call has been sent again to the endpoint that had turned it away. */
-  private hasReturned = false;
+  private readonly turnAways: TurnAways;
   private hasAnswerStarted = false;
   private isFinished = false;
 
@@ -76,6 +67,10 @@
       dependencies.throttle,
       dependencies.clock,
     );
+    this.turnAways = new TurnAways({
+      repeatable: request.repeatable,
+      replayable: transport.replayable,
+    });
     this.hedgeTimer = new HedgeTimer(request, dependencies, transport, () =>
       this.sendHedgedRequest(),
     );
@@ -125,16 +120,15 @@
     else this.returnOrRefuse(this.noTargetCause());
   }
 
-  /** Sends the call to the endpoint that turned it away, if no other one has run it; otherwise refuses it. */
+  /** Sends the call back to the endpoint that turned it away, if no other one has run it; otherwise refuses it. */
   private returnOrRefuse(cause: RefusalCause): void {
-    const { turnedAwayBy } = this;
-    const mayRun = this.feedback.verdict === 'not-run' && this.remainingMs >= MIN_RETRY_TIME_MS;
-    if (turnedAwayBy === undefined || this.hasReturned || !mayRun) {
+    const isUnrun = this.feedback.verdict === 'not-run';
+    const endpointId = isUnrun ? this.turnAways.takeReturn(this.remainingMs) : undefined;
+    if (endpointId === undefined) {
       this.refuse(cause);
       return;
     }
-    this.hasReturned = true;
-    this.triedEndpointIds.delete(turnedAwayBy);
+    this.triedEndpointIds.delete(endpointId);
     this.sendAttempt();
   }
 
@@ -158,13 +152,6 @@
     return delayMs + usualMs <= this.remainingMs;
   }
 
-  /** Whether a refusal of the attempt that is being sent costs the call nothing: others can follow without a retry. */
-  private get mayBeTurnedAway(): boolean {
-    const isEarly = this.triedEndpointIds.size <= MAX_TURNED_AWAY && !this.hasReturned;
-    if (!isEarly || this.request.repeatable || !this.transport.replayable) return false;
-    return this.remainingMs >= MIN_TURN_AWAY_TIME_MS;
-  }
-
   /** Milliseconds left until the deadline. */
   private get remainingMs(): number {
     return this.request.deadlineAt - this.dependencies.clock.now();
@@ -185,7 +172,9 @@
       {
         retries: sent.loan.amount,
         isRepeat: this.feedback.isNextRepeat,
-        isReroutable: pick.hasAlternative && this.mayBeTurnedAway,
+        isReroutable:
+          pick.hasAlternative &&
+          this.turnAways.mayBeTurnedAway(this.triedEndpointIds.size, this.remainingMs),
       },
       {
         onHead: (head) => this.onHead(sent, head),
@@ -244,7 +233,7 @@
     sent.loan.settle(outcome.unspentRetries);
     sent.end(toEndpointResult(outcome), outcome);
     this.recordRefusal(sent.endpoint, outcome);
-    if (outcome.refusal === 'target-slowed') this.turnedAwayBy = sent.endpoint.id;
+    if (outcome.refusal === 'target-slowed') this.turnAways.onTurnedAway(sent.endpoint.id);
     this.continueAfter(refusedAttempt(outcome), gateRefusalCause(outcome));
   }
 
