--- a/test/programs/restart-of-all.test.ts
+++ b/test/programs/restart-of-all.test.ts
@@ -65,11 +65,13 @@
       return new ProgramProcess(`sidecar-${index}`, 'sidecar', workDir, { ...listen, ...more });
     });
     const all = [...control, ...ingresses];
+    const starts = all.map((process) => process.start());
     cleanup.add(async () => {
-      // One that did not start has nothing to kill; the others must end all the same.
+      // If one does not start, the others may still be starting.
+      await Promise.allSettled(starts);
       await Promise.allSettled(all.map(async (process) => process.kill()));
     });
-    await Promise.all(all.map((process) => process.start()));
+    await Promise.all(starts);
     sidecars.splice(0, SIDECARS, ...ingresses);
     processes = all;
   }
