--- a/src/admission/congestion-level.ts
+++ b/src/admission/congestion-level.ts
@@ -3,6 +3,7 @@
  * A sidecar keeps one for the calls that wait for its target and one for all downstream calls of the target: downstream
  * calls carry no context that would tie them to a request, so each answer reports the level of all of them.
  */
+import { averagingWeight } from '../common/averaging-weight.js';
 import type { Clock } from '../common/clock.js';
 
 /** Minimum weight of one call in the average: covers about the last twenty calls. */
@@ -24,7 +25,7 @@
   onCall(congestion: number): void {
     const before = this.current();
     const now = this.clock.now();
-    const weight = Math.max(MIN_CALL_WEIGHT, 1 - Math.exp((this.updatedAt - now) / AVERAGING_MS));
+    const weight = averagingWeight(now - this.updatedAt, AVERAGING_MS, MIN_CALL_WEIGHT);
     this.updatedAt = now;
     this.level = before + weight * (congestion - before);
   }
--- a/src/admission/path-bottlenecks.ts
+++ b/src/admission/path-bottlenecks.ts
@@ -4,6 +4,7 @@
  */
 import type { Bottleneck } from '../call/outcome.js';
 import { BoundedMap } from '../common/bounded-map.js';
+import { averagingWeight } from '../common/averaging-weight.js';
 import type { Clock } from '../common/clock.js';
 import type { NestedCallShares } from './nested-call-shares.js';
 import type { TargetPressure } from './target-pressure.js';
@@ -63,7 +64,7 @@
       if (told !== undefined) this.routes.set(route, { workMs: undefined, ...told, toldAt: now });
       return;
     }
-    const weight = Math.max(MIN_WEIGHT, 1 - Math.exp((state.toldAt - now) / AVERAGING_MS));
+    const weight = averagingWeight(now - state.toldAt, AVERAGING_MS, MIN_WEIGHT);
     state.toldAt = now;
     if (told !== undefined && told.service !== state.service && told.pressure > state.pressure) {
       state.service = told.service;
--- a/src/admission/room-level.ts
+++ b/src/admission/room-level.ts
@@ -2,6 +2,7 @@
  * The part of the requests that lead to one bottleneck service which is admitted, over all ranks: the lowest rank is shut out
  * first, and a higher one only once the lower ones are. The part is the inverse of the told ratio of demand to capacity.
  */
+import { averagingWeight } from '../common/averaging-weight.js';
 import type { Clock } from '../common/clock.js';
 import { IMPORTANCE_COUNT, type Importance } from '../policy/importance.js';
 
@@ -63,7 +64,7 @@
   onPressure(told: number): void {
     const before = this.currentPressure();
     const now = this.clock.now();
-    const weight = Math.max(MIN_WEIGHT, 1 - Math.exp((this.toldAt - now) / AVERAGING_MS));
+    const weight = averagingWeight(now - this.toldAt, AVERAGING_MS, MIN_WEIGHT);
     this.toldAt = now;
     this.pressure = before + weight * (Math.max(1, told) - before);
   }
