--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -24,26 +24,42 @@
   idleTimeoutMs: 15_000,
 };
 
+/** Below the range from which the system takes ports of outgoing connections, so that none takes a port during a restart. */
+const FIRST_PORT = 20_000;
+const PORTS = 12_000;
+/** Spreads the first port by process, so that cases that run at the same time probe different ones. */
+const STRIDE = 97;
+let probed = (process.pid * STRIDE) % PORTS;
+
 /**
- * Returns ports that are not in use.
+ * Returns ports that are not in use; none is returned twice.
  * @param {number} count
  * @returns {Promise<number[]>}
  */
 export async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise((resolve) => server.listen(0, HOST, () => resolve(undefined)));
-      return server;
-    }),
-  );
-  const ports = servers.map(
-    (server) => /** @type {import('node:net').AddressInfo} */ (server.address()).port,
-  );
-  for (const server of servers) server.close();
+  /** @type {number[]} */
+  const ports = [];
+  for (let tried = 0; ports.length < count; tried += 1) {
+    if (tried > PORTS) throw new Error('no free port is left');
+    const port = FIRST_PORT + probed;
+    probed = (probed + 1) % PORTS;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
+/**
+ * @param {number} port
+ * @returns {Promise<boolean>}
+ */
+function isFree(port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, HOST, () => server.close(() => resolve(true)));
+  });
+}
+
 /**
  * @typedef {object} Machine
  * @property {Program} sidecar
