Link: a streamed request body that nothing reads no longer ends the process

What callers saw: each time the client of an upload over 64 KiB left while the upload waited for admission beside its target, the whole sidecar there ended. Requests of that machine's own clients were run elsewhere and got no answer; other uploads got 502.

Cause: the stream of the body is destroyed with an error when its call is cancelled, its link is lost or its sender fails. undici listens to 'error' from the dispatch to the end of its attempt only; before and after that the event has no listener, and Node.js ends the process.

Fix: the stream has a listener for its whole life. It drops the error, as the event 'cancel' of the call reports the end. While undici sends, its own listener still aborts the attempt.

--- a/src/link/incoming-link-call.ts
+++ b/src/link/incoming-link-call.ts
@@ -13,6 +13,15 @@
 
 const EMPTY_BODY = Buffer.alloc(0);
 
+/** Creates the stream of a request body that arrives in data frames. */
+function createBodyStream(): Readable {
+  const stream = new Readable({ read: () => undefined });
+  // undici listens only from dispatch to the end of its attempt; without a listener, an 'error' event ends the process.
+  // Nothing is lost: the event 'cancel' ends the call.
+  stream.on('error', () => undefined);
+  return stream;
+}
+
 /** Handles an incoming call. */
 export type LinkCallHandler = (call: IncomingLinkCall) => void;
 
@@ -45,7 +54,7 @@
   ) {
     super();
     if (frame.body === undefined) {
-      this.bodyStream = new Readable({ read: () => undefined });
+      this.bodyStream = createBodyStream();
       this.body = this.bodyStream;
     } else this.body = frame.body;
   }
@@ -138,9 +147,9 @@
     this.emit('cancel');
   }
 
-  /** Fails a streamed request body that will not be completed, which makes undici abort the request to the target. */
+  /** Fails a streamed request body that will not be completed. If undici is sending it, undici aborts the request. */
   private destroyBody(reason: string): void {
-    // Only undici receives this error, and it checks neither class nor code.
+    // undici checks neither class nor code.
     this.bodyStream?.destroy(new Error(reason));
   }
 
