Gate: an upload whose body breaks off while it waits is refused at once, as not run

What callers saw: nothing yet; the next cause on the path of the unread body. The ingress reports a body that it can't read any more with a frame of its own. A call that waits for admission kept its place, was sent with the failed body when a slot was free, and ended as "unreachable", "may-have-run", which also counts as a failure of the target.

Cause: the frame only destroyed the stream of the body; the call itself learned of it through undici, once it was sent.

Evidence: the test over a raw link fails on the code before (unreachable, may-have-run in place of bad-request, not-run). undici writes nothing of a request whose body has failed, but reports its start, which makes the attempt "written" (a trial with a bare socket). Ruled out: an ingress of today that sends this frame alone. Its client has always left by then, so that the call was cancelled before (seen in the tests with an invalid chunk and with a body over the maximum); peers of other versions may.

Fix: the frame ends the call like the end of the process does, with the verdict of its attempt.

--- a/src/gate/gate-server.ts
+++ b/src/gate/gate-server.ts
@@ -98,6 +98,7 @@
     this.call = call;
     incoming.takeOutcome = (): Outcome => call.takeOutcome('ran', undefined);
     incoming.once('cancel', () => this.onCallerGone(call));
+    incoming.once('bodyFailure', () => call.endWithIncompleteBody());
     call.start();
   }
 
--- a/src/gate/inbound-call.ts
+++ b/src/gate/inbound-call.ts
@@ -82,6 +82,11 @@
     this.stop('cancelled');
   }
 
+  /** The caller can not send the rest of the request body: ends the call with a final result. */
+  endWithIncompleteBody(): void {
+    this.giveUp(bodyBrokeRefusal);
+  }
+
   /** The process is about to exit: ends the call with a final result. */
   endWithProcess(): void {
     this.giveUp(processEndRefusal);
--- a/src/link/incoming-link-call.ts
+++ b/src/link/incoming-link-call.ts
@@ -17,7 +17,7 @@
 function createBodyStream(): Readable {
   const stream = new Readable({ read: () => undefined });
   // undici listens only from dispatch to the end of its attempt; without a listener, an 'error' event ends the process.
-  // Nothing is lost: the event 'cancel' ends the call.
+  // Nothing is lost: the events 'cancel' and 'bodyFailure' end the call.
   stream.on('error', () => undefined);
   return stream;
 }
@@ -34,7 +34,10 @@
   release(id: number): boolean;
 }
 
-/** An incoming call and the sink of its response. Emits `cancel` when the caller cancels or disconnects. */
+/**
+ * An incoming call and the sink of its response. Emits `cancel` when the caller cancels or disconnects, and `bodyFailure`
+ * when the caller can not send the rest of a streamed request body.
+ */
 export class IncomingLinkCall extends EventEmitter implements AnswerSink, PendingFrame {
   /** Returns the outcome to send with the response head. Called once, by {@link writeHead}. */
   takeOutcome: (() => Outcome) | undefined;
@@ -132,6 +135,7 @@
         this.bodyStream?.push(null);
         return;
       case 'broken':
+        this.emit('bodyFailure');
         this.destroyBody('Request body is incomplete');
         return;
       default:
--- a/test/link/unread-request-body.test.ts
+++ b/test/link/unread-request-body.test.ts
@@ -8,39 +8,15 @@
 import { PassThrough, Readable } from 'node:stream';
 import { Pool } from 'undici';
 import { LinkPool } from '../../src/link/link-pool.js';
-import type { LinkCallListener, LinkStream } from '../../src/link/link-stream.js';
+import type { LinkStream } from '../../src/link/link-stream.js';
 import type { IncomingLinkCall } from '../../src/link/incoming-link-call.js';
 import { LinkServer } from '../../src/link/link-server.js';
 import { LoopbackProxy } from '../../lab/soak/loopback-proxy.js';
+import { IGNORE_RESPONSE, LINK_CALL_CONTEXT } from '../support/link-call.js';
 
 const TOKEN = 'token-of-the-unread-body-test';
 /** Time after which a link whose peer is silent is closed, in milliseconds. */
 const SILENCE_CLOSES_AFTER_MS = 1_400;
-const CONTEXT = {
-  requestId: 'q',
-  kind: 'k',
-  importance: 1,
-  service: 's',
-  deadlineMs: 5_000,
-  waitMs: 100,
-  objectiveMs: 400,
-  retries: 0,
-  isRepeat: false,
-  inheritedShare: 0,
-  answerMarginMs: 0,
-  fingerprint: '',
-  groupRank: 0,
-  clientWaitedMs: 0,
-  isReroutable: false,
-};
-const IGNORE_RESPONSE: LinkCallListener = {
-  onAnswer: () => undefined,
-  onHead: () => undefined,
-  onRefused: () => undefined,
-  onData: () => true,
-  onEnd: () => undefined,
-  onFailure: () => undefined,
-};
 
 /** A call with a streamed body of which the first bytes have arrived at the called side. */
 interface Upload {
@@ -75,7 +51,13 @@
   async function upload(): Promise<Upload> {
     const sent = new PassThrough();
     const arrived = once(arrivals, 'call') as Promise<[IncomingLinkCall]>;
-    const frame = { context: CONTEXT, method: 'POST', path: '/', headers: [], body: sent };
+    const frame = {
+      context: LINK_CALL_CONTEXT,
+      method: 'POST',
+      path: '/',
+      headers: [],
+      body: sent,
+    };
     const stream = pool.call(proxy.origin, frame, IGNORE_RESPONSE)!;
     const [call] = await arrived;
     sent.write('the first part');
