HTTP: what is left of a streamed request body is discarded once its response is complete

What callers saw: an upload got its final response (a refusal, or the end of its deadline while it waited) before all of its body was sent. As soon as the client sent the next part, its connection was closed, and its next request there got no response.

Cause: nobody owned the streamed body once its call had ended. At the ingress the sender of the body broke out of its loop at the next chunk, which destroyed the stream, its generator, and with it the client's connection; if it was waiting for an acknowledgement it stayed there for good, as the end of its call didn't resume it. An unread body of an API request or of a message between processes stayed paused in the same way.

Fix: the body is a stream of its own (StreamedBody in place of a generator). Its exchange destroys it when the response is closed, and destroying it reads and drops the rest, up to the maximum size of a body; above that the connection is closed as before. Like the called side of a link, it listens to its own 'error' event, since it may fail while nothing reads it. The sender is resumed when the body closes, and reports a failed body only while its call is in flight.

--- a/src/http/api-request.ts
+++ b/src/http/api-request.ts
@@ -1,6 +1,6 @@
 /** Reads JSON request bodies for control's APIs and for a sidecar's registration API. */
 import type { IncomingMessage } from 'node:http';
-import { readRequestBody } from './request-body.js';
+import { discardBody, readRequestBody } from './request-body.js';
 import { apiProblem, type ApiProblem } from './api-problem.js';
 
 /** A parsed body, or the problem to answer with. */
@@ -19,6 +19,7 @@
       if (body === undefined) {
         resolve(apiProblem('too-large', `The body was not taken: ${fault ?? 'unknown'}.`));
       } else if (!body.replayable) {
+        discardBody(body);
         resolve(apiProblem('too-large', `The body takes at most ${maxBytes} bytes.`));
       } else resolve((body.content as Buffer | null) ?? Buffer.alloc(0));
     });
--- a/src/http/caller-exchange.ts
+++ b/src/http/caller-exchange.ts
@@ -9,6 +9,7 @@
 import { writeRefusal } from './caller-response.js';
 import type { RawHeaders } from './header-filter.js';
 import {
+  discardBody,
   readRequestBody,
   type BodyFault,
   type BodyLimits,
@@ -27,6 +28,9 @@
 }
 
 export abstract class CallerExchange {
+  /** The request body, once it is read. */
+  private body: RequestBody | undefined;
+
   /** @param statsName key in {@link CallStats}: the name of the route at an ingress, of the kind elsewhere */
   protected constructor(
     protected readonly message: IncomingMessage,
@@ -52,12 +56,14 @@
     this.response.once('close', () => {
       this.stats.onFinish();
       this.onClosed(this.response.writableFinished);
+      if (this.body !== undefined) discardBody(this.body);
     });
   }
 
   /** Reads the body. Calls neither hook if the caller disconnects meanwhile. */
   protected readBody(limits: BodyLimits): void {
     readRequestBody(this.message, limits, (body, fault) => {
+      this.body = body;
       if (body !== undefined) this.onBody(body);
       else if (fault === 'caller-gone' || fault === undefined) this.response.destroy();
       else this.onBodyRefused(fault);
--- a/src/http/link-messages.ts
+++ b/src/http/link-messages.ts
@@ -6,7 +6,7 @@
 import { request, type Dispatcher } from 'undici';
 import { decodeMessage, encodeMessage, MSGPACK_TYPE } from '../common/message-codec.js';
 import { isSameToken } from './link-token.js';
-import { readRequestBody, type BodyLimits } from './request-body.js';
+import { discardBody, readRequestBody, type BodyLimits } from './request-body.js';
 
 interface PostOptions {
   readonly dispatcher: Dispatcher;
@@ -65,6 +65,7 @@
 ): Promise<Message | undefined> {
   const bytes = await new Promise<Buffer | undefined>((resolve) => {
     readRequestBody(message, limits, (body) => {
+      if (body !== undefined) discardBody(body);
       resolve(body?.content instanceof Buffer ? body.content : undefined);
     });
   });
--- a/src/http/request-body.ts
+++ b/src/http/request-body.ts
@@ -2,10 +2,9 @@
  * Reads request bodies. Small bodies are buffered before the call is sent, so that a slow sender holds no slot and the call
  * can be retried; larger ones are streamed.
  */
-import { once } from 'node:events';
-import { Readable } from 'node:stream';
+import type { Readable } from 'node:stream';
 import type { IncomingMessage } from 'node:http';
-import { ShoredoorError } from '../common/errors.js';
+import { StreamedBody } from './streamed-body.js';
 
 export interface BodyLimits {
   /** Bodies up to this size are buffered; of larger ones, the first bytes. */
@@ -25,7 +24,7 @@
 
 /** A request body that is ready to be forwarded. */
 export interface RequestBody {
-  /** The body for undici: null for none, the whole body, or a stream that can be read once. */
+  /** The body for undici: null for none, the whole body, or a stream that can be read once and must be destroyed. */
   readonly content: Buffer | Readable | null;
   /** The whole body, or the first `bufferBytes` of a streamed one; null for none. */
   readonly bufferedStart: Buffer | null;
@@ -62,6 +61,11 @@
   new BodyReader(message, limits, callback).start();
 }
 
+/** Discards the rest of a streamed body that nothing will read any more. */
+export function discardBody({ content }: RequestBody): void {
+  if (content instanceof StreamedBody) content.destroy();
+}
+
 /** Buffers a body until it ends or exceeds `bufferBytes`. */
 class BodyReader {
   private readonly chunks: Buffer[] = [];
@@ -86,7 +90,7 @@
     this.size += chunk.length;
     if (this.size <= this.limits.bufferBytes) return;
     this.message.pause();
-    const content = Readable.from(this.streamRemaining(), { objectMode: false });
+    const content = new StreamedBody(this.message, this.chunks, this.limits.maxBytes);
     // Cut at the limit, so that the bytes do not depend on the chunk boundaries.
     const start = Buffer.concat(this.chunks).subarray(0, this.limits.bufferBytes);
     this.finish({ content, bufferedStart: start, replayable: false }, undefined);
@@ -107,29 +111,4 @@
     this.message.off('close', this.onClose);
     this.callback(body, fault);
   }
-
-  /**
-   * Closes the caller's connection and waits until it is closed. An attempt that failed before that would count as a
-   * failure of its target instead of its caller.
-   */
-  private async closeConnection(): Promise<void> {
-    const { socket } = this.message;
-    const closed = socket.closed ? undefined : once(socket, 'close');
-    this.message.destroy();
-    await closed;
-  }
-
-  /** Yields the buffered chunks and then the rest as it arrives. @throws ShoredoorError when the body exceeds `maxBytes` */
-  private async *streamRemaining(): AsyncGenerator<Buffer> {
-    yield* this.chunks;
-    let total = this.size;
-    for await (const chunk of this.message as AsyncIterable<Buffer>) {
-      total += chunk.length;
-      if (total > this.limits.maxBytes) {
-        await this.closeConnection();
-        throw new ShoredoorError('request body exceeds the maximum size');
-      }
-      yield chunk;
-    }
-  }
 }
--- a/src/link/link-stream.ts
+++ b/src/link/link-stream.ts
@@ -114,17 +114,20 @@
   /** Sends a streamed body in data frames, as far as the window allows. */
   async sendBody(body: Readable): Promise<void> {
     const { link, id } = this;
+    body.once('close', () => this.resumeBody?.());
     try {
       for await (const chunk of body as AsyncIterable<Buffer>) {
         link.send({ type: 'data', id, bytes: chunk });
         this.window.onSent(chunk.length);
-        while (!this.window.isOpen && link.has(id)) await this.waitForAcknowledgement();
+        while (!this.window.isOpen && link.has(id) && !body.destroyed) {
+          await this.waitForAcknowledgement();
+        }
         if (!link.has(id)) return;
       }
       link.send({ type: 'end', id });
     } catch {
       // The caller's body failed. The call itself ends when the caller's connection closes.
-      link.send({ type: 'broken', id });
+      if (link.has(id)) link.send({ type: 'broken', id });
     }
   }
 
--- a/test/http/request-body.test.ts
+++ b/test/http/request-body.test.ts
@@ -57,6 +57,16 @@
     expect(await result).to.deep.equal({ bytes: 100, isWhole: true });
   });
 
+  it('fails without an effect on its process when its caller leaves before anything reads it', async () => {
+    client.write('x'.repeat(50));
+    const content = (await bodyRead)!.content as Readable;
+    client.destroy();
+    await new Promise((resolve) => content.once('close', resolve));
+    expect(content.errored).to.be.an('error');
+    // An attempt that fails while its caller is connected counts as a failure of its target.
+    expect(isCallerGone).to.equal(true);
+  });
+
   it('breaks off above the largest size', async () => {
     client.write('x'.repeat(50));
     const result = readForwardedBody();
--- a/test/programs/waiting-uploads.test.ts
+++ b/test/programs/waiting-uploads.test.ts
@@ -51,6 +51,13 @@
     if (firstBytes === UPLOAD_BYTES) this.sent.end();
   }
 
+  /** Sends another request. @returns whether it got a response on the connection of the upload */
+  async canReuseConnection(): Promise<boolean> {
+    const [next, status] = this.open(`${this.id}-next`, {});
+    next.end('a short body');
+    return (await status) !== 0 && next.socket === this.sent.socket;
+  }
+
   private open(id: string, headers: object): [ClientRequest, Promise<number>] {
     const sent = request(`${this.origin}${UPLOAD_PATH}`, {
       agent: this.agent,
@@ -165,6 +172,18 @@
     expect(await upload.status).to.be.oneOf([502, 503, 504]);
     await expectNotSent(upload);
   });
+
+  for (const firstBytes of [100_000, UPLOAD_BYTES]) {
+    const sent = firstBytes === UPLOAD_BYTES ? 'the whole' : 'a part of the';
+    it(`gets a final response at its deadline after ${sent} body was sent`, async () => {
+      const upload = await startUpload(fleet, { deadlineMs: 600, firstBytes });
+      expect(await upload.status).to.be.oneOf([503, 504]);
+      upload.sent.end(Buffer.alloc(UPLOAD_BYTES - firstBytes, 'u'));
+      fleet.target.release();
+      expect(await upload.canReuseConnection()).to.equal(true);
+      await expectNotSent(upload);
+    });
+  }
 });
 
 describe('an upload that waits for admission as its gate or target ends', function () {
