Tests: the slot of the target is held by a call that does not use the link under test

Cause: the call that occupied the slot came over the link that a test resets.

Now the slot is held over a link of its own.

--- a/test/support/upload-fleet.ts
+++ b/test/support/upload-fleet.ts
@@ -9,9 +9,11 @@
 import { freePorts } from '../../lab/fleet/free-ports.js';
 import { LoopbackProxy } from '../../lab/soak/loopback-proxy.js';
 import { SILENT_LOGGER } from '../../src/common/logger.js';
+import { LinkPool } from '../../src/link/link-pool.js';
 import type { Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { startLoneControl } from './lone-control.js';
+import { IGNORE_RESPONSE, LINK_CALL_CONTEXT } from './link-call.js';
+import { LONE_LINK_TOKEN, startLoneControl } from './lone-control.js';
 import { sidecarSettings } from './sidecar-settings.js';
 import { Cleanup, until } from './processes.js';
 
@@ -22,6 +24,8 @@
 export const UPLOAD_SERVICE = 'ledger';
 const REPORT_INTERVAL_MS = 300;
 const ROUTE_TIMEOUT_MS = 5_000;
+/** Deadline of the request that occupies the slot, in milliseconds. */
+const HELD_DEADLINE_MS = 10_000;
 const GRACE_MS = 1_500;
 const STATUS_OK = 200;
 
@@ -90,6 +94,8 @@
 export class UploadFleet {
   readonly target = new HoldingTarget();
   private readonly cleanup = new Cleanup();
+  /** Links to the gate that do not pass the proxy. */
+  private readonly directLinks = new LinkPool(LONE_LINK_TOKEN);
   private sequence = 0;
 
   private constructor(
@@ -118,6 +124,7 @@
     const ingress = await start('ingress', { service: 'shop' });
     const fleet = new UploadFleet(ingress, gate, link);
     fleet.cleanup.add(() => cleanup.run());
+    fleet.cleanup.add(() => fleet.directLinks.destroy());
     await fleet.begin(control);
     return fleet;
   }
@@ -138,11 +145,14 @@
     return Number(/^shoredoor_admission_waiting(?:{.*})? (\d+)$/m.exec(text)?.[1]);
   }
 
-  /** Occupies the slot of the target until it is released. */
+  /** Occupies the slot of the target until it is released, by a call that does not use the link from the ingress. */
   async occupySlot(): Promise<void> {
     this.target.isHolding = true;
     const before = this.target.arrived.length;
-    void this.sendSmall('in-the-slot');
+    const context = { ...LINK_CALL_CONTEXT, service: UPLOAD_SERVICE, deadlineMs: HELD_DEADLINE_MS };
+    const headers = ['X-Request-Id', 'in-the-slot'];
+    const call = { context, method: 'POST', path: UPLOAD_PATH, headers, body: null };
+    this.directLinks.call(this.gate.origins.inbound!, call, IGNORE_RESPONSE);
     await until(() => this.target.arrived.length > before);
   }
 
