Soak: uploads whose clients leave, under faults of sidecars, links and targets

What was missing: the soak sent no body of more than a few bytes, and did not look at processes that end by themselves.

The profile `uploads` sends bodies of up to 2 MB with a length and in chunks, at once and in parts, over kept connections, up to half of them by clients that leave within 1.5 s, in bursts that fill the slots of all targets. Sidecars are killed, frozen, stopped and reloaded, links reset and silenced, targets crashed and slowed, in series and overlapping. New checks, in all profiles: no process ends by itself, and a body that a target has read completely is the one that was sent.

Ruled out: uploads at an even rate. Uploads in bursts do not count for goodput, as a part of them has to be refused; short requests do.

--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -7,6 +7,7 @@
 import { drawCrashPlan } from '../soak/crash-plan.js';
 import { drawLimitPlan, drawManyLimitsPlan } from '../soak/limit-plan.js';
 import { drawStopPlan } from '../soak/stop-plan.js';
+import { drawUploadPlan } from '../soak/upload-plan.js';
 import { wholeNumber } from './options.js';
 
 interface SoakOptions {
@@ -24,6 +25,7 @@
   crashes: drawCrashPlan,
   limits: drawLimitPlan,
   'many-limits': drawManyLimitsPlan,
+  uploads: drawUploadPlan,
 };
 
 function profileOf(name: string): (seed: number, durationMs: number) => SoakPlan {
--- a/lab/fleet/child-process.ts
+++ b/lab/fleet/child-process.ts
@@ -30,6 +30,8 @@
 
 /** A child process of a fleet. */
 export class FleetChild {
+  private isExitRequested = false;
+
   private constructor(
     readonly name: string,
     private readonly child: ChildProcess,
@@ -81,14 +83,23 @@
     return origin;
   }
 
+  /** Calls `listener` when the process exits before it was stopped or killed. */
+  onOwnExit(listener: () => void): void {
+    this.child.once('exit', () => {
+      if (!this.isExitRequested) listener();
+    });
+  }
+
   /** Sends a signal to this process only, not to its children. */
   signal(signal: NodeJS.Signals): void {
+    this.isExitRequested ||= signal === 'SIGTERM' || signal === 'SIGKILL';
     this.child.kill(signal);
   }
 
   /** Sends SIGTERM, and SIGKILL after `timeoutMs`. @returns the exit code; null if a signal ended the process */
   async stop(timeoutMs: number): Promise<number | null> {
     if (this.child.exitCode !== null) return this.child.exitCode;
+    this.isExitRequested = true;
     const ended = new Promise<number | null>((resolve) => this.child.once('exit', resolve));
     this.child.kill('SIGTERM');
     const timer = setTimeout(() => this.child.kill('SIGKILL'), timeoutMs);
@@ -100,6 +111,7 @@
   /** Sends SIGKILL and waits for the exit. */
   async kill(): Promise<void> {
     if (this.child.exitCode !== null || this.child.signalCode !== null) return;
+    this.isExitRequested = true;
     const ended = new Promise<void>((resolve) => this.child.once('exit', () => resolve()));
     this.child.kill('SIGKILL');
     await ended;
--- a/lab/fleet/program-process.ts
+++ b/lab/fleet/program-process.ts
@@ -18,6 +18,8 @@
 export type ProgramName = 'control' | 'edge' | 'node' | 'sidecar';
 
 export class ProgramProcess {
+  /** Number of ends that no signal of this object caused. */
+  ownExits = 0;
   private child: FleetChild | undefined;
 
   /** @param settings all but id, link token and admin address; `zone` defaults to `zone-a` */
@@ -36,6 +38,7 @@
     writeFileSync(file, stringify({ ...common, ...this.settings }));
     const args = [program, '--config', file];
     this.child = await FleetChild.start(id, PRODUCT_SCRIPT, args, join(workDir, `${id}.log`));
+    this.child.onOwnExit(() => (this.ownExits += 1));
   }
 
   /** Process id. @throws before the first start */
--- a/lab/soak/exchange-result.ts
+++ b/lab/soak/exchange-result.ts
@@ -9,6 +9,8 @@
   readonly body: string;
   /** Whether the client's own timeout ended the exchange. */
   readonly hasTimedOut: boolean;
+  /** Whether the connection ended before the client had sent the whole request. Default false. */
+  readonly isIncomplete?: boolean;
   /** Id of the instance that answered; undefined if none did. */
   readonly instance?: string | undefined;
   /** What the target announces in the response; undefined if the response was not received completely. */
--- a/lab/soak/run-soak.ts
+++ b/lab/soak/run-soak.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from '../../src/common/random.js';
 import { DeadlyClient } from './deadly-client.js';
 import { SoakClients } from './soak-clients.js';
+import { UploadClients } from './upload-clients.js';
 import { SoakFaults } from './soak-faults.js';
 import { RETRY_BUDGET, SoakFleet, type SoakMachine } from './soak-fleet.js';
 import { isVersionInForce, nestedPath, SOAK_HOST, SoakOperator } from './soak-operator.js';
@@ -69,6 +70,7 @@
   private readonly startedAt = performance.now();
   private readonly targets: SoakTarget[] = [];
   private readonly clients: SoakClients[] = [];
+  private readonly uploadClients: UploadClients[] = [];
   private readonly operator: SoakOperator;
   private readonly faults: SoakFaults;
   /** Times at which the last fault of each machine ended, by machine index; Infinity while one is in progress. */
@@ -108,6 +110,7 @@
     this.isOver = true;
     await Promise.all(pending);
     await this.waitUntil(this.now() + Math.max(SETTLE_MS, plan.clientDeadlineMs));
+    for (const { id, ownExits } of this.fleet.processes) record.onProcessEnd(id, ownExits);
     return record.violations({
       retries: RETRY_BUDGET,
       minSuccessRatio: MIN_SUCCESS_RATIO,
@@ -120,6 +123,7 @@
     this.isOver = true;
     clearInterval(this.reportTimer);
     await Promise.all(this.clients.map((each) => each.end()));
+    for (const each of this.uploadClients) each.end();
     for (const target of this.targets) target.stop();
   }
 
@@ -192,6 +196,10 @@
       const clients = new SoakClients(context, machine, this.plan.perSecond);
       this.clients.push(clients);
       clients.start();
+      if (this.plan.uploads === undefined) continue;
+      const uploads = new UploadClients(context, machine, this.plan.uploads);
+      this.uploadClients.push(uploads);
+      uploads.start();
     }
   }
 
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -55,6 +55,10 @@
     return fleet;
   }
 
+  get processes(): readonly ProgramProcess[] {
+    return [...this.replicas, ...this.machines].map(({ process }) => process);
+  }
+
   /** Kills every process and closes the proxies. */
   async end(): Promise<void> {
     for (const { process, proxy } of this.machines) {
--- a/lab/soak/soak-operator.ts
+++ b/lab/soak/soak-operator.ts
@@ -8,6 +8,8 @@
 /** Path prefixes of the route with repeatable requests and of the one with at-most-once requests. */
 export const READ_PATH = '/read/';
 export const PLACE_PATH = '/place/';
+/** Path prefix of the route with long request bodies. */
+export const UPLOAD_PATH = '/upload/';
 export const HEALTH_PATH = '/health';
 const RETRY_MS = 100;
 const ANSWER_TIMEOUT_MS = 1_000;
@@ -103,6 +105,7 @@
   return [
     route('read', READ_PATH, first!, 'repeatable'),
     route('place', PLACE_PATH, first!, 'once'),
+    ...(plan.uploads === undefined ? [] : [route('upload', UPLOAD_PATH, first!, 'once')]),
     route('marker', markerPath(version), first!, 'repeatable'),
     ...deeper.map((service) =>
       route(`nested-${service.name}`, nestedPath(service), service, 'repeatable'),
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -55,6 +55,19 @@
   readonly callsPerRun: number;
 }
 
+/** The load of long request bodies at each machine. */
+export interface UploadLoad {
+  readonly perSecond: number;
+  /** Number of uploads that are sent at the same time. */
+  readonly burst: number;
+  /** Maximum length of a body, in bytes. */
+  readonly maxBytes: number;
+  /** Fraction of clients that leave before they have got a response, 0 to 1. */
+  readonly leavingPart: number;
+  /** Maximum time after which such a client leaves, in milliseconds. */
+  readonly leaveWithinMs: number;
+}
+
 export interface SoakPlan {
   readonly seed: number;
   readonly services: readonly SoakService[];
@@ -77,6 +90,8 @@
   readonly hasUniqueRequests?: boolean;
   /** Whether the services declare a health check, which sidecars use after a start. Default false. */
   readonly hasHealthChecks?: boolean;
+  /** Uploads by clients. Default none. */
+  readonly uploads?: UploadLoad;
 }
 
 /** The order is fixed: a recorded seed must draw the same plan. */
--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -152,7 +152,7 @@
   }
 
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    message.resume();
+    const body = readLength(message);
     if (message.url === HEALTH_PATH) {
       this.answerHealthCheck(response);
       return;
@@ -183,6 +183,8 @@
     const callSegment = last.startsWith(CALLS_DEADLY_PREFIX)
       ? last.slice(CALLS_DEADLY_PREFIX.length)
       : '1';
+    const bytes = await body;
+    if (bytes !== undefined) this.context.record.onBodyRead(id, bytes);
     const status = await this.run({ id, isRepeat, response, deadlineAt, callSegment });
     if (this.incarnation !== incarnation || this.isDown) return;
     this.running -= 1;
@@ -292,6 +294,16 @@
   }
 }
 
+/** Reads a body. @returns its length in bytes; undefined if it is incomplete */
+function readLength(message: IncomingMessage): Promise<number | undefined> {
+  return new Promise((resolve) => {
+    let bytes = 0;
+    message.on('data', (chunk: Buffer) => (bytes += chunk.length));
+    message.on('end', () => resolve(bytes));
+    message.on('close', () => resolve(undefined));
+  });
+}
+
 function reject(response: ServerResponse, status: number): void {
   response.writeHead(status, { [HEADERS.notExecuted]: '1' }).end();
 }
--- a/test/lab/soak.test.ts
+++ b/test/lab/soak.test.ts
@@ -7,6 +7,7 @@
 import { drawCrashPlan } from '../../lab/soak/crash-plan.js';
 import { drawLimitPlan } from '../../lab/soak/limit-plan.js';
 import { drawStopPlan } from '../../lab/soak/stop-plan.js';
+import { drawUploadPlan } from '../../lab/soak/upload-plan.js';
 import { drawPlan } from '../../lab/soak/soak-plan.js';
 import { answerBody, Check, SoakRecord, type SoakBounds } from '../../lab/soak/soak-record.js';
 import { runSoak } from '../../lab/soak/run-soak.js';
@@ -17,6 +18,8 @@
 const CI_STOP_DURATION_MS = 24_000;
 const CI_LIMIT_SEED = 1;
 const CI_LIMIT_DURATION_MS = 25_000;
+const CI_UPLOAD_SEED = 102;
+const CI_UPLOAD_DURATION_MS = 24_000;
 const CI_CRASH_SEED = 1;
 const CI_CRASH_DURATION_MS = 22_000;
 /** Minimum number of requests around stops for a meaningful run. */
@@ -166,6 +169,18 @@
           announcements.onArrival('i-1', 2_101);
         }),
     },
+    {
+      check: Check.WholeBody,
+      run: () =>
+        found(200, (record) => {
+          record.onBodySent('q', 100);
+          record.onBodyRead('q', 99);
+        }),
+    },
+    {
+      check: Check.NoOwnExit,
+      run: () => found(200, (record) => record.onProcessEnd('sidecar-0', 1)),
+    },
   );
   for (const { check, run } of cases) {
     it(`find a run in which this does not hold: ${check}`, () => {
@@ -275,6 +290,18 @@
     rmSync(folder, { recursive: true, force: true });
   });
 
+  // Guards against sidecars that end when a long request body fails while nothing reads it.
+  it('ends no process by uploads whose clients leave, under faults of sidecars, links and targets', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
+    const plan = drawUploadPlan(CI_UPLOAD_SEED, CI_UPLOAD_DURATION_MS);
+    const { violations, checkCounts: chances } = await runSoak(plan, folder);
+    expect(violations, `logs: ${folder}`).to.deep.equal([]);
+    for (const check of [Check.WholeBody, Check.NoOwnExit]) {
+      expect(chances.get(check), check).to.be.above(0);
+    }
+    rmSync(folder, { recursive: true, force: true });
+  });
+
   it('breaks no promise', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'shoredoor-soak-'));
     const { violations, checkCounts: chances } = await runSoak(
