Soak: no bursts of uploads in the fault-free period

No fault was there; what was wanted at the end was measured under an overload of the soak's own.

Bursts are a part of the trouble that the profile brings about, so they end where the faults end; single uploads go on at the same rate. The bound stays.

--- a/lab/soak/run-soak.ts
+++ b/lab/soak/run-soak.ts
@@ -78,6 +78,8 @@
   private reportTimer: NodeJS.Timeout | undefined;
   private sequence = 0;
   private isOver = false;
+  /** Start of the fault-free period, in milliseconds. */
+  private faultFreeFrom = Infinity;
 
   constructor(
     private readonly plan: SoakPlan,
@@ -102,6 +104,7 @@
     this.startClients();
     await this.waitUntil(WARMUP_MS);
     const from = this.now();
+    this.faultFreeFrom = from + plan.durationMs - plan.calmMs;
     const pending = [
       ...plan.faults.map((fault) => this.injectAt(fault, from)),
       this.changeConfiguration(from),
@@ -115,7 +118,7 @@
       retries: RETRY_BUDGET,
       minSuccessRatio: MIN_SUCCESS_RATIO,
       minSuccessRatioAtEnd: MIN_SUCCESS_RATIO_AT_END,
-      recoveredAt: from + plan.durationMs - plan.calmMs + RECOVERY_MS,
+      recoveredAt: this.faultFreeFrom + RECOVERY_MS,
     });
   }
 
@@ -197,7 +200,8 @@
       this.clients.push(clients);
       clients.start();
       if (this.plan.uploads === undefined) continue;
-      const uploads = new UploadClients(context, machine, this.plan.uploads);
+      const isFaultFree = (): boolean => this.now() >= this.faultFreeFrom;
+      const uploads = new UploadClients(context, machine, this.plan.uploads, isFaultFree);
       this.uploadClients.push(uploads);
       uploads.start();
     }
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -58,7 +58,7 @@
 /** The load of long request bodies at each machine. */
 export interface UploadLoad {
   readonly perSecond: number;
-  /** Number of uploads that are sent at the same time. */
+  /** Number of uploads that are sent at the same time until the fault-free period. */
   readonly burst: number;
   /** Maximum length of a body, in bytes. */
   readonly maxBytes: number;
--- a/lab/soak/upload-clients.ts
+++ b/lab/soak/upload-clients.ts
@@ -37,11 +37,13 @@
     private readonly context: ClientContext,
     private readonly machine: SoakMachine,
     private readonly load: UploadLoad,
+    private readonly isFaultFree: () => boolean,
   ) {}
 
-  /** Sends bursts of uploads at random intervals until the run is over. */
+  /** Sends bursts of uploads at random intervals, and single ones in the fault-free period, until the run is over. */
   start(): void {
-    const { burst, perSecond } = this.load;
+    const { perSecond } = this.load;
+    const burst = this.isFaultFree() ? 1 : this.load.burst;
     const gapMs = sampleExponential(this.context.random, (burst * MS_PER_SECOND) / perSecond);
     setTimeout(() => {
       if (this.context.isOver()) return;
