--- a/src/gate/inbound-call.ts
+++ b/src/gate/inbound-call.ts
@@ -82,7 +82,7 @@
     this.stop('cancelled');
   }
 
-  /** The caller can not send the rest of the request body: ends the call with a final result. */
+  /** The caller cannot send the rest of the request body: ends the call with a final result. */
   endWithIncompleteBody(): void {
     this.giveUp(bodyBrokeRefusal);
   }
--- a/src/http/request-body.ts
+++ b/src/http/request-body.ts
@@ -24,7 +24,7 @@
 
 /** A request body that is ready to be forwarded. */
 export interface RequestBody {
-  /** The body for undici: null for none, the whole body, or a stream that can be read once and must be destroyed. */
+  /** The body for undici: null for none, the whole body, or a stream that can be read once. */
   readonly content: Buffer | Readable | null;
   /** The whole body, or the first `bufferBytes` of a streamed one; null for none. */
   readonly bufferedStart: Buffer | null;
--- a/src/http/streamed-body.ts
+++ b/src/http/streamed-body.ts
@@ -7,7 +7,8 @@
 import { ShoredoorError } from '../common/errors.js';
 
 export class StreamedBody extends Readable {
-  private size = 0;
+  /** Bytes received so far. */
+  private size: number;
 
   /**
    * @param message must be paused
--- a/src/link/incoming-link-call.ts
+++ b/src/link/incoming-link-call.ts
@@ -36,7 +36,7 @@
 
 /**
  * An incoming call and the sink of its response. Emits `cancel` when the caller cancels or disconnects, and `bodyFailure`
- * when the caller can not send the rest of a streamed request body.
+ * when the caller cannot send the rest of a streamed request body.
  */
 export class IncomingLinkCall extends EventEmitter implements AnswerSink, PendingFrame {
   /** Returns the outcome to send with the response head. Called once, by {@link writeHead}. */
--- a/src/link/link-stream.ts
+++ b/src/link/link-stream.ts
@@ -114,6 +114,7 @@
   /** Sends a streamed body in data frames, as far as the window allows. */
   async sendBody(body: Readable): Promise<void> {
     const { link, id } = this;
+    // The body may be discarded while its sender waits for an acknowledgement.
     body.once('close', () => this.resumeBody?.());
     try {
       for await (const chunk of body as AsyncIterable<Buffer>) {
