--- a/lab/soak/upload-clients.ts
+++ b/lab/soak/upload-clients.ts
@@ -42,12 +42,14 @@
 
   /** Sends bursts of uploads at random intervals, and single ones in the fault-free period, until the run is over. */
   start(): void {
-    const { perSecond } = this.load;
-    const burst = this.isFaultFree() ? 1 : this.load.burst;
-    const gapMs = sampleExponential(this.context.random, (burst * MS_PER_SECOND) / perSecond);
+    const gapMs = sampleExponential(
+      this.context.random,
+      (this.burst * MS_PER_SECOND) / this.load.perSecond,
+    );
     setTimeout(() => {
       if (this.context.isOver()) return;
       this.start();
+      const { burst } = this;
       for (let each = 0; each < burst; each += 1) void this.send();
     }, gapMs);
   }
@@ -56,6 +58,11 @@
     this.agent.destroy();
   }
 
+  /** Number of uploads that are sent together now. */
+  private get burst(): number {
+    return this.isFaultFree() ? 1 : this.load.burst;
+  }
+
   private async send(): Promise<void> {
     const { random, record, now, deadlineMs } = this.context;
     const { index: machine } = this.machine;
