--- a/src/http/streamed-body.ts
+++ b/src/http/streamed-body.ts
@@ -51,7 +51,7 @@
     if (!this.destroyed) this.push(null);
   };
 
-  private readonly onClose = (): void => this.fail('is incomplete');
+  private readonly onClose = (): void => this.fail('request body is incomplete');
 
   /**
    * Closes the caller's connection, and fails the body after that. An attempt that failed before would count as a failure of
@@ -60,11 +60,11 @@
   private rejectTooLarge(): void {
     const { message } = this;
     message.off('close', this.onClose);
-    message.socket.once('close', () => this.fail('exceeds the maximum size'));
+    message.socket.once('close', () => this.fail('request body exceeds the maximum size'));
     message.destroy();
   }
 
-  private fail(fault: string): void {
-    this.destroy(new ShoredoorError(`request body ${fault}`));
+  private fail(message: string): void {
+    this.destroy(new ShoredoorError(message));
   }
 }
