Test of replicated control: the leader is asked for until all replicas name the same one

The test took the leader from one status of one replica. A replica whose election timeout (300 ms) ran out names no leader until the election is over, and its status says so ('no leader is known'); the test then stopped the replica at index -1.

Evidence: the event loop blocked for 400 ms before the status: the test fails with the same line in 2 of 4 runs; for 700 ms in 4 of 4; without the block 4 of 4 pass. All three replicas share one event loop there, so a pause of the machine lets their timeouts run out together. Ruled out: a lost change (the first change had been accepted), a status that hides a leader it knows (the status repeats the log's own state).

Changed: the test waits until all replicas name the same leader, stops that one, and waits until the two others agree on one of themselves before all are restarted, which was not checked before. With the same blocks of 0, 400 and 700 ms: 5 of 5 runs each. Product unchanged.

--- a/test/control/replicated-control.test.ts
+++ b/test/control/replicated-control.test.ts
@@ -1,12 +1,31 @@
 import { expect } from 'chai';
 import { parseResource } from '../../src/policy/resource-schema.js';
 import type { Program } from '../../src/programs/program.js';
-import { Cleanup, clientOf, planReplicas, startReplica, until } from '../support/processes.js';
+import {
+  Cleanup,
+  clientOf,
+  planReplicas,
+  startReplica,
+  until,
+  type TestReplica,
+} from '../support/processes.js';
 
 function service(name: string, queueWaitMs: number) {
   return parseResource({ kind: 'Service', name, spec: { queueWaitMs } });
 }
 
+/** Waits until all replicas name the same leader, since an election may start at any moment. Returns the leader's index. */
+async function agreedLeader(replicas: readonly TestReplica[]): Promise<number> {
+  let leader = -1;
+  await until(async () => {
+    const statuses = await Promise.all(replicas.map((replica) => clientOf([replica]).status()));
+    const [leaderId, ...others] = statuses.map((status) => status.replication.leaderId);
+    leader = replicas.findIndex((replica) => replica.id === leaderId);
+    return leader !== -1 && others.every((other) => other === leaderId);
+  });
+  return leader;
+}
+
 describe('three control replicas over HTTP', () => {
   const cleanup = new Cleanup();
   afterEach(() => cleanup.run());
@@ -20,11 +39,12 @@
     const first = await client.put(service('ledger', 10), { changeId: 'change-1' });
     expect(first.status).to.equal(201);
 
-    const leaderId = (await client.status()).replication.leaderId;
-    const leader = replicas.findIndex((replica) => replica.id === leaderId);
+    const leader = await agreedLeader(replicas);
     await programs[leader]!.stop();
     const second = await client.put(service('ledger', 20), { changeId: 'change-2', expect: 1 });
     expect(second.body).to.include({ type: 'accepted', revision: 2 });
+    const rest = replicas.filter((_, index) => index !== leader);
+    await agreedLeader(rest);
 
     await Promise.all(programs.filter((_, index) => index !== leader).map((one) => one.stop()));
     await Promise.all(replicas.map((replica) => startReplica(cleanup, replicas, replica)));
