Soak: ledger of deadly requests and outcomes of requests in files of their own

soak-record.ts had 363 lines and two jobs besides recording: the history of deadly requests, now deadly-ledger.ts like the ledger of announcements, and what an outcome means, now request-outcome.ts. Four plans wrote the same three deadlines (uniformDeadlines), and two link tests the context of a call that test/support/link-call.ts has.

--- a/lab/soak/crash-plan.ts
+++ b/lab/soak/crash-plan.ts
@@ -8,6 +8,7 @@
   FaultKind,
   createPlanRandom,
   REPLICAS,
+  uniformDeadlines,
   type PlannedFault,
   type SoakPlan,
 } from './soak-plan.js';
@@ -41,9 +42,7 @@
     ],
     replicas: REPLICAS,
     perSecond: 8 + random.nextInt(8),
-    clientDeadlineMs: DEADLINE_MS,
-    timeoutMs: DEADLINE_MS,
-    nestedDeadlineMs: DEADLINE_MS,
+    ...uniformDeadlines(DEADLINE_MS),
     durationMs,
     calmMs: FAULT_FREE_END_MS,
     faults: [...drawDeadlyFaults(random, untilMs), ...drawOtherFaults(random, untilMs)],
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -138,6 +138,13 @@
   return new SeededRandom(Math.imul(seed, SEED_FACTOR) >>> 0);
 }
 
+/** The same deadline for clients, routes and nested calls. */
+export function uniformDeadlines(
+  deadlineMs: number,
+): Pick<SoakPlan, 'clientDeadlineMs' | 'timeoutMs' | 'nestedDeadlineMs'> {
+  return { clientDeadlineMs: deadlineMs, timeoutMs: deadlineMs, nestedDeadlineMs: deadlineMs };
+}
+
 /**
  * Draws a plan with mixed faults.
  * @param durationMs duration of the traffic in milliseconds, longer than the fault-free period
--- a/lab/soak/soak-record.ts
+++ b/lab/soak/soak-record.ts
@@ -2,8 +2,17 @@
  * Records what clients, targets and the operator of a soak observe, and checks it against the promises of the product.
  * Has no clock; times are passed in, in milliseconds.
  */
-import type { ExchangeResult } from './exchange-result.js';
 import { AnnouncementLedger } from './announcement-ledger.js';
+import { DeadlyLedger } from './deadly-ledger.js';
+import {
+  answerBody,
+  isForeignFailure,
+  isSteadyRequest,
+  NOT_RUN_STATUSES,
+  STATUS_OK,
+  successRatioOf,
+  type RequestOutcome,
+} from './request-outcome.js';
 import { ArrivalLedger, type ArrivalBound } from '../simulator/sidecars/arrival-ledger.js';
 
 /** The checks of a run, by the names that reports print. */
@@ -31,23 +40,6 @@
   readonly detail: string;
 }
 
-/** The outcome of one request of a client, or of a call of a target. */
-export interface RequestOutcome extends ExchangeResult {
-  readonly id: string;
-  /** Index of the machine whose sidecar received it. */
-  readonly machine: number;
-  /** Whether a target sent it. */
-  readonly isNested: boolean;
-  /** Whether it is one of a burst of uploads, some of which are refused for overload. Default false. */
-  readonly isUpload?: boolean;
-  /** Whether it crashes the targets that run it. Default false. */
-  readonly isDeadly?: boolean;
-  /** Timeout of its sender, in milliseconds. */
-  readonly deadlineMs: number;
-  readonly sentAt: number;
-  readonly endedAt: number;
-}
-
 /** A period in which a machine is stopping or affected by a fault. */
 export interface Disturbance {
   readonly machine: number;
@@ -66,40 +58,25 @@
   readonly recoveredAt: number;
 }
 
-/** Crashes after which a deadly request must be quarantined. */
-const CRASHES_BEFORE_QUARANTINE = 3;
-/** Time allowed for the quarantine to take effect, in milliseconds. */
-const MAX_QUARANTINE_DELAY_MS = 3_000;
-/** Runs of a deadly request that are allowed after that time. */
-const MAX_LATE_RUNS = 3;
 /** Substring of the body of a refusal due to quarantine. */
 const QUARANTINE_PROBLEM = 'problem:quarantined';
 
-const STATUS_OK = 200;
-const STATUS_FAILED = 500;
 /**
  * A request sent in the first half of the grace period that is still running in its last sixth may be cut: a stop can
  * not wait any longer.
  */
 const EARLY_PART = 0.5;
 const LAST_PART = 5 / 6;
-/** Statuses that guarantee that the request has not run and will not run. */
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 /**
  * A failure is attributed to a stop only if no fault occurred during the request or within
  * this time before it, in milliseconds.
  */
 const DISTURBANCE_MARGIN_MS = 3_000;
 
-/** Times of the runs of a deadly request and of the crashes that it caused, in milliseconds. */
-interface DeadlyHistory {
-  readonly runsAt: number[];
-  readonly crashesAt: number[];
-}
-
 export class SoakRecord {
   readonly arrivals = new ArrivalLedger();
   readonly announcements = new AnnouncementLedger();
+  readonly deadly = new DeadlyLedger();
   private readonly runs = new Map<string, number>();
   private readonly atMostOnceIds = new Set<string>();
   /** Lengths of request bodies in bytes, by request id: as sent by clients, and as read completely by targets. */
@@ -108,7 +85,6 @@
   private readonly outcomes: RequestOutcome[] = [];
   private readonly stops: Disturbance[] = [];
   private readonly disturbances: Disturbance[] = [];
-  private readonly deadly = new Map<string, DeadlyHistory>();
   private readonly foundViolations: Violation[] = [];
   private readonly checkCounts = new Map<Check, number>();
 
@@ -117,16 +93,6 @@
     this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
   }
 
-  /** A target starts to run a deadly request. */
-  onDeadlyRun(name: string, atMs: number): void {
-    this.historyOf(name).runsAt.push(atMs);
-  }
-
-  /** A target crashes because of a deadly request. */
-  onDeadlyCrash(name: string, atMs: number): void {
-    this.historyOf(name).crashesAt.push(atMs);
-  }
-
   /** A client sends a request that may run at most once. */
   onAtMostOnceSent(id: string): void {
     this.atMostOnceIds.add(id);
@@ -247,7 +213,7 @@
   }
 
   private checkFalseQuarantine({ id, isDeadly = false, body }: RequestOutcome): void {
-    if (isDeadly || this.deadly.size === 0) return;
+    if (isDeadly || this.deadly.isEmpty) return;
     this.countCheck(Check.NoFalseQuarantine);
     if (!body.includes(QUARANTINE_PROBLEM)) return;
     this.foundViolations.push({ check: Check.NoFalseQuarantine, detail: `${id} was quarantined` });
@@ -278,13 +244,8 @@
   }
 
   private checkDeadly(): void {
-    for (const [name, { runsAt, crashesAt }] of this.deadly) {
-      const thirdCrashAt = crashesAt[CRASHES_BEFORE_QUARANTINE - 1];
-      if (thirdCrashAt === undefined) continue;
-      this.countCheck(Check.DeadlyBound);
-      const late = runsAt.filter((at) => at > thirdCrashAt + MAX_QUARANTINE_DELAY_MS).length;
-      if (late <= MAX_LATE_RUNS) continue;
-      const detail = `${name} began ${late} times later than ${MAX_QUARANTINE_DELAY_MS} ms after its third crash`;
+    this.countCheck(Check.DeadlyBound, this.deadly.checkCount);
+    for (const detail of this.deadly.violations()) {
       this.foundViolations.push({ check: Check.DeadlyBound, detail });
     }
   }
@@ -298,14 +259,6 @@
     }
   }
 
-  private historyOf(name: string): DeadlyHistory {
-    const existing = this.deadly.get(name);
-    if (existing !== undefined) return existing;
-    const created = { runsAt: [], crashesAt: [] };
-    this.deadly.set(name, created);
-    return created;
-  }
-
   private checkRetries({ retries }: SoakBounds): void {
     this.countCheck(Check.RetryBudget);
     const worst = this.arrivals.worstWindow(retries);
@@ -342,22 +295,3 @@
   const isEarly = sentAt <= fromMs + EARLY_PART * graceMs;
   return isEarly && endedAt >= fromMs + LAST_PART * graceMs;
 }
-
-/** Whether a failure response does not come from the target itself. */
-function isForeignFailure({ id, status, body }: RequestOutcome): boolean {
-  return status >= STATUS_FAILED && body !== answerBody(id);
-}
-
-/** Whether goodput counts a request: it was sent by a client, and not in a burst. */
-function isSteadyRequest({ isNested, isUpload = false }: RequestOutcome): boolean {
-  return !isNested && !isUpload;
-}
-
-function successRatioOf(outcomes: readonly RequestOutcome[]): number {
-  return outcomes.filter(({ status }) => status === STATUS_OK).length / outcomes.length;
-}
-
-/** The complete response body for a request. */
-export function answerBody(id: string): string {
-  return `answer to ${id}.`;
-}
--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -10,7 +10,8 @@
 import { CALLS_DEADLY_PREFIX, DEADLY_PREFIX } from './deadly-client.js';
 import { failedExchange, readResponse, type ExchangeResult } from './exchange-result.js';
 import { HEALTH_PATH } from './soak-operator.js';
-import { answerBody, type SoakRecord } from './soak-record.js';
+import { answerBody } from './request-outcome.js';
+import type { SoakRecord } from './soak-record.js';
 import type { SoakService } from './soak-plan.js';
 
 /** The failures that a target currently injects. */
@@ -210,11 +211,11 @@
   /** Runs a deadly request and crashes. */
   private async crashOn(name: string): Promise<void> {
     const { record, random, now } = this.context;
-    record.onDeadlyRun(name, now());
+    record.deadly.onRun(name, now());
     const { incarnation } = this;
     await pause(MIN_CRASH_DELAY_MS + random.nextInt(EXTRA_CRASH_DELAY_MS));
     if (this.incarnation !== incarnation || this.isDown) return;
-    record.onDeadlyCrash(name, now());
+    record.deadly.onCrash(name, now());
     await this.crash(MIN_DOWN_MS + random.nextInt(EXTRA_DOWN_MS));
   }
 
--- a/lab/soak/stop-plan.ts
+++ b/lab/soak/stop-plan.ts
@@ -8,6 +8,7 @@
   FaultKind,
   createPlanRandom,
   REPLICAS,
+  uniformDeadlines,
   type PlannedFault,
   type SoakPlan,
 } from './soak-plan.js';
@@ -43,9 +44,7 @@
     ],
     replicas: REPLICAS,
     perSecond,
-    clientDeadlineMs: DEADLINE_MS,
-    timeoutMs: DEADLINE_MS,
-    nestedDeadlineMs: DEADLINE_MS,
+    ...uniformDeadlines(DEADLINE_MS),
     durationMs,
     calmMs: FAULT_FREE_END_MS,
     faults: drawStops(
--- a/lab/soak/upload-plan.ts
+++ b/lab/soak/upload-plan.ts
@@ -8,6 +8,7 @@
   drawTimes,
   FaultKind,
   REPLICAS,
+  uniformDeadlines,
   type PlannedFault,
   type SoakPlan,
 } from './soak-plan.js';
@@ -60,9 +61,7 @@
     ],
     replicas: REPLICAS,
     perSecond,
-    clientDeadlineMs: DEADLINE_MS,
-    timeoutMs: DEADLINE_MS,
-    nestedDeadlineMs: DEADLINE_MS,
+    ...uniformDeadlines(DEADLINE_MS),
     durationMs,
     calmMs: FAULT_FREE_END_MS,
     faults: drawFaults(random, durationMs - FAULT_FREE_END_MS),
--- a/test/lab/soak.test.ts
+++ b/test/lab/soak.test.ts
@@ -9,7 +9,8 @@
 import { drawStopPlan } from '../../lab/soak/stop-plan.js';
 import { drawUploadPlan } from '../../lab/soak/upload-plan.js';
 import { drawPlan } from '../../lab/soak/soak-plan.js';
-import { answerBody, Check, SoakRecord, type SoakBounds } from '../../lab/soak/soak-record.js';
+import { answerBody } from '../../lab/soak/request-outcome.js';
+import { Check, SoakRecord, type SoakBounds } from '../../lab/soak/soak-record.js';
 import { runSoak } from '../../lab/soak/run-soak.js';
 
 const CI_SEED = 1;
@@ -130,15 +131,15 @@
       check: Check.DeadlyBound,
       run: () =>
         found(200, (record) => {
-          for (const at of [0, 500, 1_000]) record.onDeadlyCrash('deadly-0', at);
-          for (let each = 0; each < 4; each += 1) record.onDeadlyRun('deadly-0', 4_100 + each);
+          for (const at of [0, 500, 1_000]) record.deadly.onCrash('deadly-0', at);
+          for (let each = 0; each < 4; each += 1) record.deadly.onRun('deadly-0', 4_100 + each);
         }),
     },
     {
       check: Check.NoFalseQuarantine,
       run: () =>
         found(200, (record) => {
-          record.onDeadlyRun('deadly-0', 0);
+          record.deadly.onRun('deadly-0', 0);
           const body = '{"type":"urn:shoredoor:problem:quarantined"}';
           const refused = { ...OF_CLIENT, sentAt: 0, endedAt: 1, status: 503 };
           record.onRequestEnded({ ...refused, id: 'twin', body });
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -11,6 +11,7 @@
 import { AcceptedRepeats } from '../../src/retry/accepted-repeats.js';
 import type { IncomingLinkCall } from '../../src/link/incoming-link-call.js';
 import { LinkServer } from '../../src/link/link-server.js';
+import { LINK_CALL_CONTEXT } from '../support/link-call.js';
 
 const TOKEN = 'a-token-of-this-test';
 const OUTCOME: Outcome = {
@@ -22,23 +23,7 @@
 };
 
 const CALL: LinkCall = {
-  context: {
-    requestId: 'q1',
-    kind: 'k',
-    importance: 1,
-    service: 's',
-    deadlineMs: 500,
-    waitMs: 100,
-    objectiveMs: 400,
-    retries: 1,
-    isRepeat: false,
-    inheritedShare: 0,
-    answerMarginMs: 0,
-    fingerprint: '',
-    groupRank: 0,
-    clientWaitedMs: 0,
-    isReroutable: false,
-  },
+  context: { ...LINK_CALL_CONTEXT, requestId: 'q1', deadlineMs: 500, waitMs: 100, retries: 1 },
   method: 'POST',
   path: '/x',
   headers: ['Host', 'a.example'],
--- a/test/link/silent-link.test.ts
+++ b/test/link/silent-link.test.ts
@@ -10,6 +10,7 @@
 import type { IncomingLinkCall } from '../../src/link/incoming-link-call.js';
 import { LinkServer } from '../../src/link/link-server.js';
 import { LoopbackProxy, type SilentDirections } from '../../lab/soak/loopback-proxy.js';
+import { LINK_CALL_CONTEXT } from '../support/link-call.js';
 
 const TOKEN = 'token-of-the-silent-link-test';
 const OUTCOME: Outcome = {
@@ -20,23 +21,7 @@
   load: undefined,
 };
 const CALL = {
-  context: {
-    requestId: 'q',
-    kind: 'k',
-    importance: 1,
-    service: 's',
-    deadlineMs: 5_000,
-    waitMs: 100,
-    objectiveMs: 400,
-    retries: 0,
-    isRepeat: false,
-    inheritedShare: 0,
-    answerMarginMs: 0,
-    fingerprint: '',
-    groupRank: 0,
-    clientWaitedMs: 0,
-    isReroutable: false,
-  },
+  context: { ...LINK_CALL_CONTEXT, waitMs: 100 },
   method: 'GET',
   path: '/',
   headers: [],
