API bodies over the maximum: the response arrives, and its connection stays usable

What senders saw: a chunked body over the maximum of an API (registration, resources, declarations). 330 kB at once, 100 tries: 40 times 413, 60 times ECONNRESET or EPIPE without a status; 20 MB: 22 of 100.

Cause: such a body is over the maximum when its stream is made. Since the rest of a discarded body is read and dropped, the next part met the check of the maximum, which closes the connection while the 413 is on its way. Before that the rest was not read at all.

Ruled out: a length declared in advance (refused before anything is read: 100 of 100 on one connection, 32 kB to 20 MB).

The fix: a destroyed body drops what arrives before its size is checked. A body that may still be read closes its connection as before.

--- a/src/http/streamed-body.ts
+++ b/src/http/streamed-body.ts
@@ -41,9 +41,11 @@
   }
 
   private readonly onData = (chunk: Buffer): void => {
+    // The rest of a destroyed body is dropped whatever its size: closing the connection could lose the response.
+    if (this.destroyed) return;
     this.size += chunk.length;
     if (this.size > this.maxBytes) this.rejectTooLarge();
-    else if (!this.destroyed && !this.push(chunk)) this.message.pause();
+    else if (!this.push(chunk)) this.message.pause();
   };
 
   private readonly onEnd = (): void => {
