--- a/test/control/large-change.test.ts
+++ b/test/control/large-change.test.ts
@@ -3,7 +3,7 @@
 import { request } from 'undici';
 import { encodeMessage } from '../../src/common/message-codec.js';
 import { NO_REVISION, SYNC_PATH, type SyncRequest } from '../../src/sync/sync-protocol.js';
-import { LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
+import { declareFirstSet, LONE_LINK_TOKEN, startLoneControl } from '../support/lone-control.js';
 import { Cleanup, until } from '../support/processes.js';
 
 const ROUTES = 1_500;
@@ -37,13 +37,7 @@
   });
 
   async function declare(origin: string, resources: object[]): Promise<boolean> {
-    const response = await request(`${origin}/v1/declarations`, {
-      method: 'PUT',
-      headers: { 'if-match': '0' },
-      body: JSON.stringify({ version: 1, resources }),
-    });
-    await response.body.dump();
-    return response.statusCode === 200;
+    return declareFirstSet(origin, resources);
   }
 
   /** Syncs as a process that has just started. @returns length of the response body in bytes */
--- a/test/pins/metrics.test.ts
+++ b/test/pins/metrics.test.ts
@@ -8,7 +8,7 @@
 import type { Program } from '../../src/programs/program.js';
 import { SILENT_LOGGER } from '../../src/common/logger.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { startLoneControl } from '../support/lone-control.js';
+import { declareFirstSet, startLoneControl } from '../support/lone-control.js';
 import {
   Cleanup,
   operatorClient,
@@ -190,13 +190,7 @@
   }
 
   async function declare(control: Program): Promise<boolean> {
-    const response = await request(`${control.origins.listen}/v1/declarations`, {
-      method: 'PUT',
-      headers: { 'if-match': '0' },
-      body: JSON.stringify({ version: 1, resources: SET }),
-    });
-    await response.body.dump();
-    return response.statusCode === 200;
+    return declareFirstSet(control.origins.listen, SET);
   }
 
   for (const program of ['control', 'node', 'edge', 'sidecar']) {
--- a/test/support/announcing-fleet.ts
+++ b/test/support/announcing-fleet.ts
@@ -5,7 +5,7 @@
 import type { Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
 import { AnnouncingTarget } from './announcing-target.js';
-import { startLoneControl } from './lone-control.js';
+import { declareFirstSet, startLoneControl } from './lone-control.js';
 import { Cleanup, until } from './processes.js';
 import { sidecarSettings } from './sidecar-settings.js';
 
@@ -135,13 +135,7 @@
     });
     const spec = { connections: 64, healthCheckPath: '/health' };
     const resources = [...routes, { kind: 'Service', name: SERVICE, spec }];
-    const response = await request(`${this.controlOrigin}/v1/declarations`, {
-      method: 'PUT',
-      headers: { 'if-match': '0' },
-      body: JSON.stringify({ version: 1, resources }),
-    });
-    await response.body.dump();
-    return response.statusCode === 200;
+    return declareFirstSet(this.controlOrigin, resources);
   }
 
   private async report(): Promise<void> {
--- a/test/support/calling-targets.ts
+++ b/test/support/calling-targets.ts
@@ -8,7 +8,7 @@
 import { createLogger } from '../../src/common/logger.js';
 import { finishesWithin, type Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { startLoneControl } from './lone-control.js';
+import { declareFirstSet, startLoneControl } from './lone-control.js';
 import { sidecarSettings } from './sidecar-settings.js';
 import { Cleanup, until } from './processes.js';
 
@@ -144,13 +144,7 @@
       service('front'),
       service('back'),
     ];
-    const response = await request(`${control.origins.listen}/v1/declarations`, {
-      method: 'PUT',
-      headers: { 'if-match': '0' },
-      body: JSON.stringify({ version: 1, resources }),
-    });
-    await response.body.dump();
-    return response.statusCode === STATUS_OK;
+    return declareFirstSet(control.origins.listen, resources);
   }
 
   private async report(servers: Readonly<Record<string, Server>>): Promise<void> {
--- a/test/support/crashing-targets.ts
+++ b/test/support/crashing-targets.ts
@@ -8,7 +8,7 @@
 import { SILENT_LOGGER } from '../../src/common/logger.js';
 import type { Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
-import { RestartableControl } from './lone-control.js';
+import { declareFirstSet, RestartableControl } from './lone-control.js';
 import { sidecarSettings } from './sidecar-settings.js';
 import { Cleanup, until } from './processes.js';
 
@@ -201,13 +201,7 @@
       service('front'),
       service('back'),
     ];
-    const response = await request(`${control.origin}/v1/declarations`, {
-      method: 'PUT',
-      headers: { 'if-match': '0' },
-      body: JSON.stringify({ version: 1, resources }),
-    });
-    await response.body.dump();
-    return response.statusCode === STATUS_OK;
+    return declareFirstSet(control.origin, resources);
   }
 }
 
--- a/test/support/lone-control.ts
+++ b/test/support/lone-control.ts
@@ -1,4 +1,5 @@
 /** Starts a single control replica for tests of sidecars; it accepts whole declared sets. */
+import { request } from 'undici';
 import { SILENT_LOGGER } from '../../src/common/logger.js';
 import { startControl } from '../../src/programs/control-program.js';
 import type { Program } from '../../src/programs/program.js';
@@ -64,3 +65,17 @@
     this.program = await startControl({ ...this.settings, bootstrap: false }, SILENT_LOGGER);
   }
 }
+
+/** Declares the first set of resources. @param origin of a control replica. @returns whether it was accepted */
+export async function declareFirstSet(
+  origin: string | undefined,
+  resources: readonly unknown[],
+): Promise<boolean> {
+  const response = await request(`${origin}/v1/declarations`, {
+    method: 'PUT',
+    headers: { 'if-match': '0' },
+    body: JSON.stringify({ version: 1, resources }),
+  });
+  await response.body.dump();
+  return response.statusCode === 200;
+}
--- a/test/support/upload-fleet.ts
+++ b/test/support/upload-fleet.ts
@@ -13,7 +13,7 @@
 import type { Program } from '../../src/programs/program.js';
 import { startSidecar } from '../../src/programs/sidecar-program.js';
 import { IGNORE_RESPONSE, LINK_CALL_CONTEXT } from './link-call.js';
-import { LONE_LINK_TOKEN, startLoneControl } from './lone-control.js';
+import { declareFirstSet, LONE_LINK_TOKEN, startLoneControl } from './lone-control.js';
 import { sidecarSettings } from './sidecar-settings.js';
 import { Cleanup, until } from './processes.js';
 
@@ -196,13 +196,7 @@
       { kind: 'Service', name: UPLOAD_SERVICE, spec: { connections: 64 } },
       { kind: 'Ingress', name: 'default', spec: limits },
     ];
-    const response = await request(`${control.origins.listen}/v1/declarations`, {
-      method: 'PUT',
-      headers: { 'if-match': '0' },
-      body: JSON.stringify({ version: 1, resources }),
-    });
-    await response.body.dump();
-    return response.statusCode === STATUS_OK;
+    return declareFirstSet(control.origins.listen, resources);
   }
 
   private async report(): Promise<void> {
