--- a/review/lib-2/deployment.ts
+++ b/review/lib-2/deployment.ts
@@ -78,7 +78,7 @@
 
 export class Deployment {
   readonly sidecars: RoleProcess[] = [];
-  private readonly controls: RoleProcess[] = [];
+  readonly controls: RoleProcess[] = [];
   private readonly folder = mkdtempSync(join(tmpdir(), 'review-'));
   private readonly bounds: Readonly<Record<string, unknown>>;
   private seeds: string[] = [];
@@ -137,8 +137,8 @@
     return sidecar;
   }
 
-  /** Sends the first configuration until it is acknowledged. */
-  async put(version: number, resources: object[]): Promise<void> {
+  /** Sends the first configuration until it is acknowledged. @throws after `timeoutMs` */
+  async put(version: number, resources: object[], timeoutMs = START_MS): Promise<void> {
     let origin = `http://${this.seeds[0] ?? ''}`;
     let turn = 0;
     const attempt = async (): Promise<boolean> => {
@@ -149,7 +149,7 @@
       origin = location === undefined ? `http://${next}` : new URL(location).origin;
       return false;
     };
-    await until(attempt, START_MS, `acknowledgement of configuration ${version}`);
+    await until(attempt, timeoutMs, `acknowledgement of configuration ${version}`);
   }
 
   async untilReady(sidecar: RoleProcess): Promise<void> {
--- a/review/lib-2/processes.ts
+++ b/review/lib-2/processes.ts
@@ -69,10 +69,10 @@
   return { run, template };
 }
 
-/** One process of a role. It is started again with the same settings. */
+/** One process of a role. It is started again with the settings of that moment. */
 export class RoleProcess {
   readonly role: 'sidecar' | 'control';
-  readonly fields: MachineFields;
+  fields: MachineFields;
   private readonly folder: string;
   private child: ChildProcess | undefined;
 
