--- a/review/4/run.ts
+++ b/review/4/run.ts
@@ -113,6 +113,7 @@
     lost.stopHeartbeats();
     this.record.add(`${lost.options.instance} of ${UPLOADS} falls silent`);
     await delay(ADDRESS_REUSE_MS + START_MS);
+    machine.sidecar.changeSettings({ service: TICKETS });
     await this.addTarget('i-next', TICKETS, machine, 45);
     this.record.add(`i-next of ${TICKETS} has its address`);
   }
--- a/review/lib-2/processes.ts
+++ b/review/lib-2/processes.ts
@@ -85,11 +85,8 @@
 
   start(): void {
     const { node } = this.fields;
-    const { run, template } = roleOf(this.role);
-    mkdirSync(this.folder, { recursive: true });
-    const file = join(this.folder, `${node}.yaml`);
-    const filled = fillTemplate(readFileSync(join(ROOT, template), 'utf8'), this.fields);
-    writeFileSync(file, filled);
+    const { run } = roleOf(this.role);
+    const file = this.writeSettings();
     const words = run.split(' ').map((word) => (word === SETTINGS_PATH ? file : word));
     const [program = '', ...args] = words;
     const log = openSync(join(this.folder, `${node}.log`), 'a');
@@ -102,6 +99,13 @@
     closeSync(log);
   }
 
+  /** Changes the settings file, and tells the process with SIGHUP. */
+  changeSettings(changed: Readonly<Record<string, unknown>>): void {
+    this.fields = { ...this.fields, ...changed };
+    this.writeSettings();
+    this.child?.kill('SIGHUP');
+  }
+
   /** Sends SIGKILL and waits for the end. */
   async kill(): Promise<void> {
     const { child } = this;
@@ -111,6 +115,16 @@
     await ended;
   }
 
+  /** @returns the path of the file */
+  private writeSettings(): string {
+    const { template } = roleOf(this.role);
+    mkdirSync(this.folder, { recursive: true });
+    const file = join(this.folder, `${this.fields.node}.yaml`);
+    const filled = fillTemplate(readFileSync(join(ROOT, template), 'utf8'), this.fields);
+    writeFileSync(file, filled);
+    return file;
+  }
+
   /** Address at which the process listens for `name`. */
   address(name: string): string {
     return this.fields.listen[name] ?? '';
