--- a/review/lib-2/case.ts
+++ b/review/lib-2/case.ts
@@ -62,6 +62,9 @@
     process.exit(code);
   };
   setTimeout(() => end('the case took too long', 2), LIMIT_MS);
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.once(signal, () => end(`the case was ended by ${signal}`, 2));
+  }
   try {
     const { isBroken, summary } = await play(record);
     end(summary, isBroken ? 1 : 0);
--- a/review/lib-2/processes.ts
+++ b/review/lib-2/processes.ts
@@ -97,6 +97,9 @@
       stdio: ['ignore', log, log],
     });
     closeSync(log);
+    const child = this.child;
+    // Also where the case ends early: no process outlives it.
+    process.once('exit', () => child.kill('SIGKILL'));
   }
 
   /** Changes the settings file, and tells the process with SIGHUP. */
