--- a/review/4/run.ts
+++ b/review/4/run.ts
@@ -1,6 +1,5 @@
-/** ROUTE: the address of a target that fell silent is given to a target of another service. */
+/** DRAIN: a target leaves after its sidecar was killed and started again, before its next heartbeat. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { TargetAddress } from '../lib-2/address.ts';
 import { type CaseRecord, type CaseResult, IS_CALM, runCase } from '../lib-2/case.ts';
 import { Clients } from '../lib-2/clients.ts';
 import { Deployment, freeAddress, INGRESS_RESOURCE, serviceResource } from '../lib-2/deployment.ts';
@@ -8,30 +7,33 @@
 import { Target } from '../lib-2/target.ts';
 
 const BOUNDS = { retry_budget_ratio: 0.2, retry_budget_slack: 117, budget_window: 10, grace: 6 };
-/** `address_reuse` of the site, and the time that the next target takes to start. */
-const ADDRESS_REUSE_MS = 2_000;
-const START_MS = 50;
-/** Three targets, with requests for seven tenths of their slots. */
-const TARGETS = 3;
-const SLOTS = 14;
-const WORK_MS = 200;
-const PER_SECOND = 135;
-const HOST = 'hulo84.example';
-const UPLOADS = 'kafi81c';
-const TICKETS = 'lovo22d';
+/** `drain` of the site. */
+const DRAIN_MS = 2_000;
+/** `contact` of the site: for so long after its start, the machine of the target is not in touch. */
+const CONTACT_MS = 3_000;
+/** How long the target serves after its leave was acknowledged: `drain`, and some seconds longer. */
+const SERVES_ON_MS = 5_000;
+/** When the sidecar is killed after a heartbeat, how long it stays down, and when the target leaves after that. */
+const KILL_AFTER_MS = 800;
+const DOWN_MS = 600;
+const LEAVE_AFTER_MS = 300;
+/** Targets of the service. */
+const TARGETS = 6;
+const HOST = 'jepu9.example';
+const SEATS = 'wuno96b';
 const FRONT = 'huvo11a';
-/** The site's `upload-timetable`: time-out 4,025 ms, aim 805 ms. */
-const UPLOAD_ROUTE = {
+/** The site's `book-seat`: aim 3,007 ms, time-out 1,500 ms, at most one run. */
+const SEAT_ROUTE = {
   kind: 'Route',
-  meta: { name: 'r-uploads' },
+  meta: { name: 'r-seats' },
   spec: {
     host: HOST,
-    pathPrefix: '/cufi502/',
-    semantics: 'upload',
-    timeoutMs: 4_025,
-    objectiveMs: 805,
-    rank: 1,
-    service: UPLOADS,
+    pathPrefix: '/puka111/',
+    semantics: 'once',
+    timeoutMs: 1_500,
+    objectiveMs: 3_007,
+    rank: 2,
+    service: SEATS,
     maxTargets: 2,
     anonymous: true,
   },
@@ -39,14 +41,13 @@
 
 interface Machine {
   readonly sidecar: RoleProcess;
+  readonly target: Target;
   readonly address: string;
-  readonly front: TargetAddress;
 }
 
-class RouteCase {
+class DrainCase {
   private readonly deployment = new Deployment(BOUNDS);
   private readonly machines: Machine[] = [];
-  private readonly targets: Target[] = [];
   private readonly record: CaseRecord;
 
   constructor(record: CaseRecord) {
@@ -57,97 +58,85 @@
     try {
       return await this.run();
     } finally {
-      for (const target of this.targets) target.end();
-      for (const { front } of this.machines) front.stop();
+      for (const { target } of this.machines) target.end();
       await this.deployment.end();
     }
   }
 
   private async run(): Promise<CaseResult> {
-    const { deployment, record, targets } = this;
+    const { deployment, machines, record } = this;
     await deployment.startControl(3);
-    for (let index = 1; index <= TARGETS; index += 1) {
-      await this.addMachine(`sidecar-${index}`, UPLOADS);
+    const leaving = await this.addMachine('sidecar-1', SEATS);
+    for (let index = 2; index <= TARGETS; index += 1) {
+      await this.addMachine(`sidecar-${index}`, SEATS);
     }
-    const clientMachine = await this.addMachine('sidecar-front', FRONT);
-    await deployment.put(1, [
-      UPLOAD_ROUTE,
-      ...[UPLOADS, TICKETS, FRONT].map(serviceResource),
-      INGRESS_RESOURCE,
-    ]);
+    const front = await this.addMachine('sidecar-front', FRONT);
+    const services = [SEATS, FRONT].map(serviceResource);
+    await deployment.put(1, [SEAT_ROUTE, ...services, INGRESS_RESOURCE]);
     for (const sidecar of deployment.sidecars) await deployment.untilReady(sidecar);
-    for (const [index, machine] of this.machines.entries()) {
-      const service = machine === clientMachine ? FRONT : UPLOADS;
-      await this.addTarget(`i-${index + 1}`, service, machine, SLOTS);
-    }
-    await delay(2_000);
+    for (const { target, address } of machines) await target.start(address);
     const clients = new Clients({
-      outbound: clientMachine.sidecar.address('outbound'),
+      outbound: front.sidecar.address('outbound'),
       method: 'POST',
       host: HOST,
-      path: '/cufi502/2f',
-      perSecond: PER_SECOND,
-      deadlineMs: 4_025,
-      body: 'stop,time\n'.repeat(400),
+      path: '/puka111/2f',
+      perSecond: 100,
+      deadlineMs: 5_003,
+      body: 'one seat',
     });
     clients.start();
     await delay(5_000);
-    if (!IS_CALM) await this.reuseAddress(this.machines[0]!, targets[0]!);
-    await delay(6_000);
+    const startedAt = IS_CALM ? 0 : await this.restartSidecar(leaving);
+    const { target } = leaving;
+    const status = await target.leave();
+    const acknowledgedAt = Date.now();
+    record.add(`the target of sidecar-1 leaves after heartbeat ${target.sequence}: ${status}`);
+    if (status !== 200) throw new Error(`the leave was answered with ${status}`);
+    await delay(SERVES_ON_MS);
+    target.end();
+    record.add('the target of sidecar-1 ends');
+    await delay(3_000);
     clients.stop();
     await until(() => clients.open === 0, 10_000, 'the last answers');
     record.addClients(clients);
-    for (const target of targets) record.addTarget(target);
-    const foreign = targets
-      .filter(({ options }) => options.service === TICKETS)
-      .flatMap(({ arrivals }) => arrivals.filter(({ ran }) => ran));
+    for (const each of machines) record.addTarget(each.target);
+    const from = Math.max(acknowledgedAt + DRAIN_MS, startedAt + CONTACT_MS);
+    const late = target.arrivals.filter(({ at, ran }) => ran && at > from);
+    const lastMs = (late.at(-1)?.at ?? acknowledgedAt) - acknowledgedAt;
+    const answers = new Map(clients.sent.map(({ id, status }) => [id, status]));
+    const lost = late.filter(({ id }) => answers.get(id) !== 200);
     const summary =
-      `requests of the route of ${UPLOADS} that a target of ${TICKETS} ran: ${foreign.length}; ` +
-      `answers to all: ${clients.summary()}`;
-    return { isBroken: foreign.length > 0, summary };
+      `requests at the target later than ${DRAIN_MS} ms after its leave was acknowledged, all machines in touch: ` +
+      `${late.length}, the last after ${lastMs} ms, and ${lost.length} of them without its answer; answers to all: ${clients.summary()}`;
+    return { isBroken: late.length > 0, summary };
   }
 
-  /** The target falls silent for good; later, a target of another service has its address. */
-  private async reuseAddress(machine: Machine, lost: Target): Promise<void> {
-    machine.front.goDark();
-    lost.stopHeartbeats();
-    this.record.add(`${lost.options.instance} of ${UPLOADS} falls silent`);
-    await delay(ADDRESS_REUSE_MS + START_MS);
-    machine.sidecar.changeSettings({ service: TICKETS });
-    await this.addTarget('i-next', TICKETS, machine, 45);
-    this.record.add(`i-next of ${TICKETS} has its address`);
+  /** @returns when the sidecar was started again, in milliseconds since 1970 */
+  private async restartSidecar({ sidecar, target }: Machine): Promise<number> {
+    const before = target.sequence;
+    await until(() => target.sequence > before, 3_000, 'the next heartbeat');
+    await delay(KILL_AFTER_MS);
+    this.record.add('SIGKILL of sidecar-1');
+    await sidecar.kill();
+    await delay(DOWN_MS);
+    const startedAt = Date.now();
+    sidecar.start();
+    await this.deployment.untilReady(sidecar);
+    this.record.add('sidecar-1 is ready again');
+    await delay(LEAVE_AFTER_MS);
+    return startedAt;
   }
 
   private async addMachine(node: string, service: string): Promise<Machine> {
     const address = await freeAddress();
-    const front = new TargetAddress();
-    await front.start(address);
     const sidecar = await this.deployment.startSidecar(node, service, address);
-    const machine = { sidecar, address, front };
+    const registration = sidecar.address('control');
+    const options = { service, address, registration, slots: 62, workMs: 220 };
+    const target = new Target({ instance: `i-${node}`, ...options });
+    const machine = { sidecar, target, address };
     this.machines.push(machine);
     return machine;
   }
-
-  private async addTarget(
-    instance: string,
-    service: string,
-    { sidecar, address, front }: Machine,
-    slots: number,
-  ): Promise<void> {
-    const registration = sidecar.address('control');
-    const target = new Target({
-      instance,
-      service,
-      address,
-      registration,
-      slots,
-      workMs: WORK_MS,
-    });
-    this.targets.push(target);
-    const own = await freeAddress();
-    front.give(own);
-    await target.start(own);
-  }
 }
 
-await runCase(import.meta.url, (record) => new RouteCase(record).play());
+await runCase(import.meta.url, (record) => new DrainCase(record).play());
--- a/review/lib-2/processes.ts
+++ b/review/lib-2/processes.ts
@@ -69,6 +69,12 @@
   return { run, template };
 }
 
+/** No process outlives the case, also where that ends early. */
+const started = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of started) child.kill('SIGKILL');
+});
+
 /** One process of a role. It is started again with the settings of that moment. */
 export class RoleProcess {
   readonly role: 'sidecar' | 'control';
@@ -97,16 +103,7 @@
       stdio: ['ignore', log, log],
     });
     closeSync(log);
-    const child = this.child;
-    // Also where the case ends early: no process outlives it.
-    process.once('exit', () => child.kill('SIGKILL'));
-  }
-
-  /** Changes the settings file, and tells the process with SIGHUP. */
-  changeSettings(changed: Readonly<Record<string, unknown>>): void {
-    this.fields = { ...this.fields, ...changed };
-    this.writeSettings();
-    this.child?.kill('SIGHUP');
+    started.add(this.child);
   }
 
   /** Sends SIGKILL and waits for the end. */
