Lease: a leave with a start time ends a holder known by its health check alone

Callers saw: after a restart of a sidecar, a target that had deregistered got requests until its lease ran out, up to 6 s; some were cut off when it ended.

Cause: the health check after the start tells the id of the target but not its start time. A leave that names the start time was looked up by the name made of both, which differs from the name of the holder, so only a name that nobody used was marked as ended and the holder stayed ready.

Ruled out: the probe itself and the announcement to control. The first is right about the target at its time, the second follows the lease.

Change: a leave applies to the holder if both may be the same incarnation, and the start time that only one of them reports becomes that of the lease. So a later start under the same id takes over with its first report when the leave was a late one of an earlier start; without that, renewals would have kept it leaving for as long as it reports.

The second new test passes on both codes: it holds what a plain comparison of ids would break.

--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -149,14 +149,24 @@
     this.onChange();
   }
 
-  /** Handles the deregistration of a target. Without a start time it applies to the holder if the instance id matches. */
+  /**
+   * Handles the deregistration of a target. It applies to the holder if that may be the same incarnation. A start time that
+   * only one of the two reports is that of both, so that another incarnation with the same id can still take over.
+   */
   onLeave(leaving: Incarnation): void {
     const { held } = this;
-    const isHeld = leaving.born === undefined && leaving.instance === held?.report.instance;
-    const name = incarnationName(isHeld ? held.report : leaving);
-    this.markEnded(name);
-    if (held === undefined || this.heldName !== name) return;
-    this.held = { ...held, report: { ...held.report, state: 'leaving' } };
+    if (held === undefined || !isSameIncarnation(held.report, leaving)) {
+      this.markEnded(incarnationName(leaving));
+      return;
+    }
+    const report: TargetReport = {
+      ...held.report,
+      born: leaving.born ?? held.report.born,
+      state: 'leaving',
+    };
+    this.markEnded(incarnationName(report));
+    this.lastBorn = report.born;
+    this.held = { ...held, report };
     this.onChange();
   }
 
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -12,6 +12,11 @@
   return { ...base, state: 'ready' as const, instance, sequence, ...members };
 }
 
+/** What a health check finds: the start time is unknown, and any report of the target itself is newer. */
+function probed(instance: string) {
+  return report(instance, 0);
+}
+
 function lease() {
   const clock = new VirtualClock();
   const held = new TargetLease(clock, SILENT_MS, () => undefined);
@@ -190,6 +195,25 @@
     expect(held.isReady).to.equal(false);
   });
 
+  // Guards against using a deregistered target after a restart of its sidecar, when only the leave names its start time.
+  it('ends with a leave that names a start time which the health check did not', () => {
+    const { held } = lease();
+    held.onReport(probed('i-1'));
+    held.onLeave({ instance: 'i-1', born: 1_000 });
+    expect(held.isReady).to.equal(false);
+    held.onReport(report('i-1', 40, { born: 1_000 }));
+    expect(held.isReady).to.equal(false);
+  });
+
+  it('comes back with the first report after the late leave of an earlier start under the same id', () => {
+    const { held } = lease();
+    held.onReport(probed('i-1'));
+    held.onLeave({ instance: 'i-1', born: 1_000 });
+    held.onReport(report('i-1', 1, { born: 2_000 }));
+    expect(held.isReady).to.equal(true);
+    expect(held.current).to.include({ born: 2_000 });
+  });
+
   it('learns the start of a target that a health check found', () => {
     const { held } = lease();
     held.onReport(report('i-1', 0));
