Lease: the name of an incarnation stays when its start time becomes known

Callers saw: after a restart of a sidecar, a target that had crashed or been replaced kept its lease, and so got more calls, when the first failed calls had been sent before its first report. Crashes were not found either, and requests that crash targets were not reported as suspects.

Cause: the name of a holder was made of id and start time each time it was asked. A holder that a health check found changed its name with its first report, and calls sent under the first name no longer matched it: in the lease (refused connections, answers by another instance), in the watch for crashes (requests in flight, probes of the port), in the load that answers report, and in the connection pool, which was replaced.

Change: the lease gives its holder a name when it acquires the lease and keeps it until the lease ends; all users take it from there.

Before: the three new tests fail on with these assertions: two of the lease ("expected true to equal false"), one of the watch for crashes ("expected false to equal true").

--- a/src/membership/target-announcements.ts
+++ b/src/membership/target-announcements.ts
@@ -14,7 +14,7 @@
 
 export class TargetAnnouncements {
   private target: Incarnation | undefined;
-  /** Names of the incarnation: one without its start time, and one with it once it is known. */
+  /** Names under which calls are sent to the incarnation. */
   private names = new Set<string>();
   private tracker = new RateLimitTracker();
   private isLeaving = false;
@@ -36,8 +36,11 @@
     return this.tracker.perSecond;
   }
 
-  /** Called when the target may be another incarnation. */
-  onTarget(target: Incarnation): void {
+  /**
+   * Called when the target may be another incarnation.
+   * @param name name under which calls are sent to it
+   */
+  onTarget(target: Incarnation, name = incarnationName(target)): void {
     const isSame = this.target !== undefined && isSameIncarnation(this.target, target);
     if (!isSame) {
       this.names = new Set();
@@ -47,7 +50,7 @@
       if (this.target !== undefined) this.limiter.onTargetReplaced();
     }
     this.target = target;
-    this.names.add(incarnationName(target));
+    this.names.add(name);
   }
 
   /**
--- a/src/membership/target-connection-pool.ts
+++ b/src/membership/target-connection-pool.ts
@@ -4,8 +4,7 @@
  */
 import type { Dispatcher, Pool } from 'undici';
 import type { Clock } from '../common/clock.js';
-import { incarnationName } from './incarnation.js';
-import type { TargetReport } from './target-lease.js';
+import type { HeldTarget } from './target-lease.js';
 import { CONNECT_TIMEOUT_MS, createPool } from '../http/connection-pools.js';
 import { ResponseTimeAverage } from '../http/response-time-average.js';
 import { ConnectionResetDetector } from '../http/connection-reset-detector.js';
@@ -24,7 +23,7 @@
 export interface TargetConnection {
   readonly dispatcher: Dispatcher;
   readonly instance: string;
-  /** Name of the incarnation; see {@link incarnationName}. */
+  /** Name of the incarnation; see {@link HeldTarget}. */
   readonly incarnation: string;
   /** Whether a response that ends now was truncated by a connection reset. */
   readonly isResetting: () => boolean;
@@ -47,9 +46,9 @@
   constructor(private readonly clock: Clock) {}
 
   /** Returns the connection to the target of this report; undefined if there is no report. */
-  getConnection(report: TargetReport | undefined): TargetConnection | undefined {
+  getConnection(report: HeldTarget | undefined): TargetConnection | undefined {
     if (report === undefined) return undefined;
-    if (this.pool === undefined || this.incarnation !== incarnationName(report)) {
+    if (this.pool === undefined || this.incarnation !== report.incarnation) {
       this.open(report);
     }
     const isResetting = (): boolean => this.resets.isResetting;
@@ -82,17 +81,17 @@
    * All established connections may stop responding at the same time while new ones work. Replacing the pool after the first
    * unanswered request prevents the loss of further requests on idle connections.
    */
-  private onUnanswered(report: TargetReport, waitedMs: number): void {
+  private onUnanswered(report: HeldTarget, waitedMs: number): void {
     const now = this.clock.now();
-    if (incarnationName(report) !== this.incarnation) return;
+    if (report.incarnation !== this.incarnation) return;
     if (!this.responseTimes.isSuspicious(waitedMs)) return;
     if (now - this.lastReplacedAt < MIN_REPLACE_INTERVAL_MS) return;
     this.lastReplacedAt = now;
     this.open(report);
   }
 
-  private open(report: TargetReport): void {
-    const incarnation = incarnationName(report);
+  private open(report: HeldTarget): void {
+    const { incarnation } = report;
     if (incarnation !== this.incarnation) this.responseTimes = new ResponseTimeAverage();
     this.incarnation = incarnation;
     const { connections, resets } = this;
--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -44,9 +44,15 @@
   readonly coldRemainingMs: number;
 }
 
+/** The target that holds the lease, as it last reported itself. */
+export interface HeldTarget extends TargetReport {
+  /** Name of the incarnation; does not change when its start time becomes known. */
+  readonly incarnation: string;
+}
+
 /** The last report of the incarnation that holds the lease. */
 interface HeldLease {
-  readonly report: TargetReport;
+  readonly report: HeldTarget;
   /** When the report was received, in milliseconds on the clock. */
   readonly receivedAt: number;
 }
@@ -78,6 +84,8 @@
   private readonly replaced = new Set<string>();
   /** Last sequence numbers of incarnations that refused connections, to ignore late reports. */
   private readonly refusedSequences = new Map<string, number>();
+  /** Incarnations that have held the lease, by name. */
+  private readonly holders = new Map<string, Incarnation>();
   /** Start time of the last holder, in milliseconds since 1970; undefined if it did not report one. */
   private lastBorn: number | undefined;
 
@@ -92,7 +100,7 @@
   ) {}
 
   /** The last report of the holder, in any state; undefined if there is no valid lease. */
-  get current(): TargetReport | undefined {
+  get current(): HeldTarget | undefined {
     const { held } = this;
     if (held === undefined || this.clock.now() - held.receivedAt >= this.leaseMs) return undefined;
     return held.report;
@@ -100,7 +108,7 @@
 
   /** Name of the incarnation that holds the lease, even if it has expired. */
   private get heldName(): string | undefined {
-    return this.held && incarnationName(this.held.report);
+    return this.held?.report.incarnation;
   }
 
   /** Whether the target accepts new requests. */
@@ -130,7 +138,8 @@
 
   /** Handles a call that another incarnation answered; by now, a newer one than `name` may hold the lease. */
   onMisdirected(name: string): void {
-    this.markEnded(name);
+    const incarnation = this.holders.get(name);
+    if (incarnation !== undefined) this.markEnded(incarnationName(incarnation));
     if (this.heldName !== name) return;
     this.held = undefined;
     this.onChange();
@@ -140,10 +149,8 @@
   onConnectionRefused(name: string): void {
     const { held } = this;
     if (held === undefined || this.heldName !== name) return;
-    this.refusedSequences.set(name, held.report.sequence);
-    const [oldest] = this.refusedSequences.keys();
-    if (this.refusedSequences.size > MAX_REMEMBERED && oldest !== undefined)
-      this.refusedSequences.delete(oldest);
+    this.refusedSequences.set(incarnationName(held.report), held.report.sequence);
+    evictOldest(this.refusedSequences);
     this.held = undefined;
     this.candidate = undefined;
     this.onChange();
@@ -159,7 +166,7 @@
       this.markEnded(incarnationName(leaving));
       return;
     }
-    const report: TargetReport = {
+    const report: HeldTarget = {
       ...held.report,
       born: leaving.born ?? held.report.born,
       state: 'leaving',
@@ -176,7 +183,10 @@
     // A leaving incarnation never becomes ready again.
     const state = before?.state === 'leaving' ? 'leaving' : report.state;
     const born = report.born ?? before?.born;
-    this.held = { report: { ...report, state, born }, receivedAt: this.clock.now() };
+    const incarnation = before?.incarnation ?? incarnationName(report);
+    this.held = { report: { ...report, state, born, incarnation }, receivedAt: this.clock.now() };
+    this.holders.set(incarnation, { instance: report.instance, born });
+    evictOldest(this.holders);
     this.lastBorn = born;
     this.candidate = undefined;
     this.onChange();
@@ -222,7 +232,12 @@
 /** Adds a name, evicting the oldest one above {@link MAX_REMEMBERED}. */
 function addBounded(names: Set<string>, name: string): void {
   names.add(name);
-  if (names.size <= MAX_REMEMBERED) return;
-  const [oldest] = names;
-  if (oldest !== undefined) names.delete(oldest);
+  evictOldest(names);
+}
+
+/** Removes the oldest entry of a collection with more than {@link MAX_REMEMBERED}. */
+function evictOldest(entries: Set<string> | Map<string, unknown>): void {
+  if (entries.size <= MAX_REMEMBERED) return;
+  const [oldest] = entries.keys();
+  if (oldest !== undefined) entries.delete(oldest);
 }
--- a/src/programs/sidecar-gate.ts
+++ b/src/programs/sidecar-gate.ts
@@ -54,7 +54,7 @@
       onAnnouncement: (incarnation, sentAt, announcement) =>
         parts.announcements.onAnswer(incarnation, sentAt, announcement),
       onLoad: (incarnation, load) => {
-        if (incarnation === parts.announcements.incarnation) targetLoad.onReport(load);
+        if (incarnation === lease.current?.incarnation) targetLoad.onReport(load);
       },
       allowsUnframed: settings.unframedAnswers === 'whole',
     },
--- a/src/programs/sidecar-target.ts
+++ b/src/programs/sidecar-target.ts
@@ -10,10 +10,9 @@
 import type { UnservedRuns } from '../gate/unserved-runs.js';
 import type { TargetLoadTracker } from '../gate/target-load-tracker.js';
 import type { TargetHeaders } from '../http/target-headers.js';
-import { incarnationName, isSameIncarnation, type Incarnation } from '../membership/incarnation.js';
 import type { TargetAnnouncements } from '../membership/target-announcements.js';
 import type { TargetConnectionPool } from '../membership/target-connection-pool.js';
-import type { TargetLease, TargetReport } from '../membership/target-lease.js';
+import type { HeldTarget, TargetLease } from '../membership/target-lease.js';
 import { probeTarget, type ProbedTarget } from '../membership/target-probe.js';
 import type { CrashGuard } from '../quarantine/crash-guard.js';
 import type { ServiceRetryBudget } from '../retry/service-retry-budget.js';
@@ -46,7 +45,7 @@
   incarnation: number;
   /** Service of the current or last target; empty before the first. */
   announcedService = '';
-  private announcedTarget: Incarnation | undefined;
+  private announcedTarget: HeldTarget | undefined;
   private hasProbed = false;
 
   /**
@@ -65,9 +64,9 @@
   onChanged(): void {
     const { lease, follower, admission, crashGuard, announcements } = this.getParts();
     const { current } = lease;
-    if (current !== undefined) announcements.onTarget(current);
+    if (current !== undefined) announcements.onTarget(current, current.incarnation);
     crashGuard.watch.onTarget(current);
-    const isReplaced = !isSameTarget(current, this.announcedTarget);
+    const isReplaced = current?.incarnation !== this.announcedTarget?.incarnation;
     if (isReplaced) this.onTargetReplaced(current);
     this.announcedTarget = current;
     this.configure();
@@ -124,9 +123,9 @@
     return stopProgress.phase >= StopPhase.Finishing || !lease.isReady;
   }
 
-  private onTargetReplaced(current: TargetReport | undefined): void {
+  private onTargetReplaced(current: HeldTarget | undefined): void {
     const { logger } = this;
-    const left = this.announcedTarget && incarnationName(this.announcedTarget);
+    const left = this.announcedTarget?.incarnation;
     this.incarnation += 1;
     const { kindPace, unservedRuns, targetLoad } = this.getParts();
     kindPace.reset();
@@ -144,8 +143,3 @@
     this.getParts().retryBudget.reset();
   }
 }
-
-function isSameTarget(first: Incarnation | undefined, second: Incarnation | undefined): boolean {
-  if (first === undefined || second === undefined) return first === second;
-  return isSameIncarnation(first, second);
-}
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -4,7 +4,7 @@
  * send a request, the gate also after a connection broke.
  */
 import type { Clock } from '../common/clock.js';
-import type { TargetReport } from '../membership/target-lease.js';
+import type { HeldTarget } from '../membership/target-lease.js';
 import type { Logger } from '../common/logger.js';
 import type { PolicyTable } from '../policy/policy-table.js';
 import { CrashWatch, type WatchedRun } from './crash-watch.js';
@@ -20,7 +20,7 @@
 export interface CrashGuardOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly target: () => TargetReport | undefined;
+  readonly target: () => HeldTarget | undefined;
   readonly refusesConnections: (address: string) => Promise<boolean>;
   /** Returns the policy table in force, which contains the quarantines. */
   readonly table: () => PolicyTable;
--- a/src/quarantine/crash-watch.ts
+++ b/src/quarantine/crash-watch.ts
@@ -3,8 +3,7 @@
  * has crashed if it refuses connections, or if another incarnation replaces it without an announced shutdown.
  */
 import type { Clock } from '../common/clock.js';
-import { incarnationName, isSameIncarnation } from '../membership/incarnation.js';
-import type { TargetReport } from '../membership/target-lease.js';
+import type { HeldTarget } from '../membership/target-lease.js';
 import type { CrashReport } from './crash-report.js';
 
 /** How the run of a request in the target ended. */
@@ -20,7 +19,7 @@
 export interface CrashWatchOptions {
   readonly clock: Clock;
   /** Returns the target in use; undefined if there is none. */
-  readonly target: () => TargetReport | undefined;
+  readonly target: () => HeldTarget | undefined;
   /** Whether the target's port refuses connections. */
   readonly refusesConnections: (address: string) => Promise<boolean>;
   /** Called once for each crash of a target. */
@@ -78,7 +77,7 @@
   private lost: LostRun[] = [];
   /** States of crashed incarnations, by name. */
   private readonly crashed = new Map<string, TargetState>();
-  private last: TargetReport | undefined;
+  private last: HeldTarget | undefined;
   private probe: Promise<void> | undefined;
 
   constructor(private readonly options: CrashWatchOptions) {}
@@ -86,7 +85,7 @@
   /** Registers a request that is about to be sent to the target. */
   begin(fingerprint: string): WatchedRun {
     const target = this.options.target();
-    const incarnation = target === undefined ? '' : incarnationName(target);
+    const incarnation = target?.incarnation ?? '';
     const run = new WatchedRun(this, incarnation, fingerprint);
     this.underWay.add(run);
     return run;
@@ -102,27 +101,27 @@
   }
 
   /** Must be called when the target in use or its state may have changed. */
-  onTarget(report: TargetReport | undefined): void {
+  onTarget(report: HeldTarget | undefined): void {
     if (report === undefined) return;
     const { last } = this;
     this.last = report;
-    if (last === undefined || isSameIncarnation(last, report)) return;
-    if (last.state !== 'leaving') this.onCrash(incarnationName(last));
+    if (last === undefined || last.incarnation === report.incarnation) return;
+    if (last.state !== 'leaving') this.onCrash(last.incarnation);
   }
 
   /** Returns the state of an incarnation. Probes its port if it is the one in use. */
   async stateOf(incarnation: string): Promise<TargetState> {
     const target = this.options.target();
-    if (target !== undefined && incarnationName(target) === incarnation) {
+    if (target?.incarnation === incarnation) {
       this.probe ??= this.probeTarget(target);
       await this.probe;
     }
     return this.crashed.get(incarnation) ?? UP;
   }
 
-  private async probeTarget(target: TargetReport): Promise<void> {
+  private async probeTarget(target: HeldTarget): Promise<void> {
     const refuses = await this.options.refusesConnections(target.address);
-    const incarnation = incarnationName(target);
+    const { incarnation } = target;
     this.probe = undefined;
     if (refuses) this.onCrash(incarnation);
     else this.crashed.delete(incarnation);
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -214,6 +214,23 @@
     expect(held.current).to.include({ born: 2_000 });
   });
 
+  // Guards against ignoring failed calls that were sent before the start time of the holder became known.
+  const failures: Readonly<Record<string, (held: TargetLease, name: string) => void>> = {
+    'is refused': (held, name) => held.onConnectionRefused(name),
+    'is answered by another instance': (held, name) => held.onMisdirected(name),
+  };
+  for (const [what, fail] of Object.entries(failures)) {
+    it(`ends when a call ${what} that was sent before the first report`, () => {
+      const { held } = lease();
+      held.onReport(probed('i-1'));
+      held.onReport(report('i-1', 7, { born: 1_000 }));
+      fail(held, 'i-1');
+      expect(held.isReady).to.equal(false);
+      held.onReport(report('i-1', 7, { born: 1_000 }));
+      expect(held.isReady).to.equal(false);
+    });
+  }
+
   it('learns the start of a target that a health check found', () => {
     const { held } = lease();
     held.onReport(report('i-1', 0));
--- a/test/pins/log-lines.test.ts
+++ b/test/pins/log-lines.test.ts
@@ -292,6 +292,7 @@
     const target = {
       instance: 'i-1',
       born: undefined,
+      incarnation: 'i-1',
       service: 'ledger',
       address: '127.0.0.1:8080',
       slots: 8,
@@ -311,7 +312,7 @@
     guard.watch.onTarget(target);
     guard.watch.begin('first-request');
     guard.watch.begin('second-request');
-    guard.watch.onTarget({ ...target, instance: 'i-2' });
+    guard.watch.onTarget({ ...target, instance: 'i-2', incarnation: 'i-2' });
     expect(captured.lines).to.deep.equal([
       {
         level: WARN,
--- a/test/quarantine/crash-watch.test.ts
+++ b/test/quarantine/crash-watch.test.ts
@@ -1,17 +1,19 @@
 import { expect } from 'chai';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
-import type { TargetReport } from '../../src/membership/target-lease.js';
+import { TargetLease, type HeldTarget } from '../../src/membership/target-lease.js';
 import type { CrashReport } from '../../src/quarantine/crash-report.js';
 import { CrashWatch, RunEnd } from '../../src/quarantine/crash-watch.js';
 
-function report(instance: string, state: TargetReport['state'] = 'ready'): TargetReport {
+const LEASE_MS = 6_000;
+
+function report(instance: string, state: HeldTarget['state'] = 'ready'): HeldTarget {
   const place = { service: 'ledger', address: '127.0.0.1:1', slots: 8 };
-  return { instance, ...place, state, sequence: 1, coldRemainingMs: 0 };
+  return { instance, incarnation: instance, ...place, state, sequence: 1, coldRemainingMs: 0 };
 }
 
 describe('the watch for crashes of a target', () => {
   let clock: VirtualClock;
-  let target: TargetReport | undefined;
+  let target: HeldTarget | undefined;
   let refuses: boolean;
   let probes: number;
   let crashes: CrashReport[];
@@ -45,6 +47,26 @@
     expect(crashes).to.deep.equal([]);
   });
 
+  // Guards against missing a crash under requests that were sent before the start time of the target became known.
+  it('finds a crash under requests that were sent before the first report of the target', async () => {
+    const lease = new TargetLease(clock, LEASE_MS, () => undefined);
+    watch = new CrashWatch({
+      clock,
+      target: () => lease.current,
+      refusesConnections: () => Promise.resolve(true),
+      onCrash: (crash) => crashes.push(crash),
+      onAnswered: () => undefined,
+    });
+    lease.onReport({ ...report('first'), sequence: 0 });
+    watch.onTarget(lease.current);
+    const run = watch.begin('broken');
+    lease.onReport({ ...report('first'), born: 1_000 });
+    watch.onTarget(lease.current);
+    run.end(RunEnd.Lost);
+    expect((await run.targetState()).isDown).to.equal(true);
+    expect(crashes[0]?.fingerprints).to.deep.equal(['broken']);
+  });
+
   it('names all requests that were in the target when its port refuses', async () => {
     refuses = true;
     const broken = watch.begin('broken');
