Lease: a health check that is answered late does not restore a target

Callers saw: requests at a target for seconds after its leave was acknowledged, when it left while a restarted sidecar waited for the answer to its health check (a check waits for a slot, up to 1 s). Nothing ended that lease but its duration: the target's own reports were dropped, as it had deregistered.

Cause: deregistered incarnations were remembered by id and start time. A health check tells the id alone, so its answer was that of a target nobody had heard of. The same for a target that refused connections meanwhile: its last report was looked up by the same name.

Change: a report without a start time may be any incarnation with its id, so it counts as that of one that deregistered, was replaced or refused connections. IncarnationSet holds this rule once for all three. A sound target that the answer belonged to is used from its first report on, as without a health check.

--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -29,6 +29,7 @@
   startedLater,
   type Incarnation,
 } from './incarnation.js';
+import { IncarnationSet } from './incarnation-set.js';
 
 /** A report of a target about its own state. */
 export interface TargetReport extends Incarnation {
@@ -79,11 +80,11 @@
   private held: HeldLease | undefined;
   private candidate: Candidate | undefined;
   /** Incarnations that have deregistered, or whose address was served by another one. */
-  private readonly ended = new Set<string>();
+  private readonly ended = new IncarnationSet(MAX_REMEMBERED);
   /** Incarnations that lost the lease to another one, which may report again. */
-  private readonly replaced = new Set<string>();
-  /** Last sequence numbers of incarnations that refused connections, to ignore late reports. */
-  private readonly refusedSequences = new Map<string, number>();
+  private readonly replaced = new IncarnationSet(MAX_REMEMBERED);
+  /** Last reports of incarnations that refused connections, to ignore late reports. */
+  private readonly refused = new IncarnationSet<TargetReport>(MAX_REMEMBERED);
   /** Incarnations that have held the lease, by name. */
   private readonly holders = new Map<string, Incarnation>();
   /** Start time of the last holder, in milliseconds since 1970; undefined if it did not report one. */
@@ -124,22 +125,22 @@
 
   /** Processes a report by the rules in the table above. */
   onReport(report: TargetReport): void {
-    const name = incarnationName(report);
-    if (this.ended.has(name)) return;
-    if (report.sequence <= (this.refusedSequences.get(name) ?? -1)) return;
+    if (this.ended.has(report)) return;
+    const refused = this.refused.find(report);
+    if (refused !== undefined && report.sequence <= refused.sequence) return;
     const { held } = this;
     if (held === undefined) {
       if (!this.startedBeforeLastHolder(report) || this.confirmsCandidate(report))
         this.renew(report);
     } else if (isSameIncarnation(held.report, report)) this.renew(report);
-    else if (this.replaced.has(name) && this.current !== undefined) return;
+    else if (this.replaced.has(report) && this.current !== undefined) return;
     else if (this.mayTakeOver(held, report)) this.takeOver(held, report);
   }
 
   /** Handles a call that another incarnation answered; by now, a newer one than `name` may hold the lease. */
   onMisdirected(name: string): void {
     const incarnation = this.holders.get(name);
-    if (incarnation !== undefined) this.markEnded(incarnationName(incarnation));
+    if (incarnation !== undefined) this.markEnded(incarnation);
     if (this.heldName !== name) return;
     this.held = undefined;
     this.onChange();
@@ -149,8 +150,7 @@
   onConnectionRefused(name: string): void {
     const { held } = this;
     if (held === undefined || this.heldName !== name) return;
-    this.refusedSequences.set(incarnationName(held.report), held.report.sequence);
-    evictOldest(this.refusedSequences);
+    this.refused.add(held.report);
     this.held = undefined;
     this.candidate = undefined;
     this.onChange();
@@ -163,7 +163,7 @@
   onLeave(leaving: Incarnation): void {
     const { held } = this;
     if (held === undefined || !isSameIncarnation(held.report, leaving)) {
-      this.markEnded(incarnationName(leaving));
+      this.markEnded(leaving);
       return;
     }
     const report: HeldTarget = {
@@ -171,7 +171,7 @@
       born: leaving.born ?? held.report.born,
       state: 'leaving',
     };
-    this.markEnded(incarnationName(report));
+    this.markEnded(report);
     this.lastBorn = report.born;
     this.held = { ...held, report };
     this.onChange();
@@ -185,8 +185,7 @@
     const born = report.born ?? before?.born;
     const incarnation = before?.incarnation ?? incarnationName(report);
     this.held = { report: { ...report, state, born, incarnation }, receivedAt: this.clock.now() };
-    this.holders.set(incarnation, { instance: report.instance, born });
-    evictOldest(this.holders);
+    this.rememberHolder(incarnation, { instance: report.instance, born });
     this.lastBorn = born;
     this.candidate = undefined;
     this.onChange();
@@ -217,27 +216,21 @@
   }
 
   private takeOver(held: HeldLease, report: TargetReport): void {
-    addBounded(this.replaced, incarnationName(held.report));
-    this.replaced.delete(incarnationName(report));
+    this.replaced.add(held.report);
+    this.replaced.delete(report);
     this.held = undefined;
     this.renew(report);
   }
 
-  private markEnded(name: string): void {
-    addBounded(this.ended, name);
-    this.replaced.delete(name);
+  private rememberHolder(name: string, incarnation: Incarnation): void {
+    this.holders.set(name, incarnation);
+    if (this.holders.size <= MAX_REMEMBERED) return;
+    const [oldest] = this.holders.keys();
+    if (oldest !== undefined) this.holders.delete(oldest);
   }
-}
 
-/** Adds a name, evicting the oldest one above {@link MAX_REMEMBERED}. */
-function addBounded(names: Set<string>, name: string): void {
-  names.add(name);
-  evictOldest(names);
-}
-
-/** Removes the oldest entry of a collection with more than {@link MAX_REMEMBERED}. */
-function evictOldest(entries: Set<string> | Map<string, unknown>): void {
-  if (entries.size <= MAX_REMEMBERED) return;
-  const [oldest] = entries.keys();
-  if (oldest !== undefined) entries.delete(oldest);
+  private markEnded(incarnation: Incarnation): void {
+    this.ended.add(incarnation);
+    this.replaced.delete(incarnation);
+  }
 }
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -205,6 +205,27 @@
     expect(held.isReady).to.equal(false);
   });
 
+  // Guards against using a deregistered target when the answer to a health check arrives after its leave.
+  it('is not acquired by a health check that is answered after the leave', () => {
+    for (const born of [undefined, 1_000]) {
+      const { held } = lease();
+      held.onLeave({ instance: 'i-1', born });
+      held.onReport(probed('i-1'));
+      expect(held.isReady).to.equal(false);
+    }
+  });
+
+  // Guards against using a target again that refused connections while its health check was under way.
+  it('is not acquired by a health check that is answered after connections were refused', () => {
+    const { held } = lease();
+    held.onReport(report('i-1', 4, { born: 1_000 }));
+    held.onConnectionRefused('i-1@1000');
+    held.onReport(probed('i-1'));
+    expect(held.isReady).to.equal(false);
+    held.onReport(report('i-1', 5, { born: 1_000 }));
+    expect(held.isReady).to.equal(true);
+  });
+
   it('comes back with the first report after the late leave of an earlier start under the same id', () => {
     const { held } = lease();
     held.onReport(probed('i-1'));
