Lease: one late report does not restore a target that left without a start time

Callers saw: a target that reports its start time, but left without one while its restarted sidecar knew nothing of it or only what its health check told, was used again after the next late report.

Cause: without a holder, such a leave marks the id without a start time, which no report with one matches. With a holder known by its health check, the holder was marked as leaving, and every report of its id renewed it as leaving: also those of a later start, for as long as it reported.

A sound later start is used one report later than its first; before, it was not used at all after a health check.

--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -9,6 +9,7 @@
  * | of one that deregistered or whose address another one serves      | dropped                                     |
  * | of one that refused connections, not newer than its last report   | dropped                                     |
  * | with an earlier start time than the last holder of the lease      | recorded as the candidate, see below        |
+ * | with a start time, while one of its id left without a start time  | recorded as the candidate                   |
  * | any other, while no incarnation holds the lease                   | acquires the lease                          |
  * | of the holder, older than its last report                         | dropped                                     |
  * | of the holder                                                     | renews the lease; a leaving holder stays so |
@@ -130,9 +131,8 @@
     if (refused !== undefined && report.sequence <= refused.sequence) return;
     const { held } = this;
     if (held === undefined) {
-      if (!this.startedBeforeLastHolder(report) || this.confirmsCandidate(report))
-        this.renew(report);
-    } else if (isSameIncarnation(held.report, report)) this.renew(report);
+      if (!this.isDoubtful(report) || this.confirmsCandidate(report)) this.renew(report);
+    } else if (this.isOfHolder(held, report)) this.renew(report);
     else if (this.replaced.has(report) && this.current !== undefined) return;
     else if (this.mayTakeOver(held, report)) this.takeOver(held, report);
   }
@@ -187,6 +187,8 @@
     this.held = { report: { ...report, state, born, incarnation }, receivedAt: this.clock.now() };
     this.rememberHolder(incarnation, { instance: report.instance, born });
     this.lastBorn = born;
+    // The one that left without a start time was another incarnation.
+    if (born !== undefined) this.ended.delete({ instance: report.instance });
     this.candidate = undefined;
     this.onChange();
   }
@@ -194,8 +196,25 @@
   /** Whether another incarnation may take over the lease; records it as the candidate if not. */
   private mayTakeOver(held: HeldLease, report: TargetReport): boolean {
     const isVacant = held.report.state === 'leaving' || this.current === undefined;
-    if (isVacant && !this.startedBeforeLastHolder(report)) return true;
-    return startedLater(report, held.report) || this.confirmsCandidate(report);
+    const isDue = isVacant || startedLater(report, held.report);
+    return (isDue && !this.isDoubtful(report)) || this.confirmsCandidate(report);
+  }
+
+  private isOfHolder(held: HeldLease, report: TargetReport): boolean {
+    return isSameIncarnation(held.report, report) && !this.mayHaveLeft(report);
+  }
+
+  /** Whether a report may have been delayed beyond the end of its sender. */
+  private isDoubtful(report: TargetReport): boolean {
+    return this.startedBeforeLastHolder(report) || this.mayHaveLeft(report);
+  }
+
+  /** Whether a report with a start time may be of an incarnation that is leaving or has left without telling its own. */
+  private mayHaveLeft({ instance, born }: TargetReport): boolean {
+    if (born === undefined) return false;
+    if (this.ended.hasUndated(instance)) return true;
+    const held = this.held?.report;
+    return held?.instance === instance && held.born === undefined && held.state === 'leaving';
   }
 
   private startedBeforeLastHolder({ born }: TargetReport): boolean {
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -226,6 +226,33 @@
     expect(held.isReady).to.equal(true);
   });
 
+  // Guards against using a deregistered target after a late report, when its leave named no start time.
+  it('is not acquired by one late report of a target that left without a start time', () => {
+    for (const wasProbed of [false, true]) {
+      const { held, clock } = lease();
+      if (wasProbed) held.onReport(probed('i-1'));
+      held.onLeave({ instance: 'i-1' });
+      clock.advance(2_100);
+      held.onReport(report('i-1', 8, { born: 1_000 }));
+      expect(held.isReady).to.equal(false);
+    }
+  });
+
+  it('is acquired by the second report of a later start after one left without a start time', () => {
+    for (const wasProbed of [false, true]) {
+      const { held, clock } = lease();
+      if (wasProbed) held.onReport(probed('i-1'));
+      held.onLeave({ instance: 'i-1' });
+      held.onReport(report('i-1', 1, { born: 2_000 }));
+      clock.advance(REPORT_GAP_MS);
+      held.onReport(report('i-1', 2, { born: 2_000 }));
+      expect(held.isReady).to.equal(true);
+      held.onConnectionRefused('i-1@2000');
+      held.onReport(report('i-1', 3, { born: 2_000 }));
+      expect(held.isReady).to.equal(true);
+    }
+  });
+
   it('comes back with the first report after the late leave of an earlier start under the same id', () => {
     const { held } = lease();
     held.onReport(probed('i-1'));
