Lease: the leave of a later start ends an earlier one under the same id

Callers saw: a target that left under the id of an earlier start went on getting requests if a late report of that earlier start held its lease, or came right after the leave to a sidecar that knew nothing. Both starts have one id, so the target runs what is sent to the other.

Cause: the leave was only matched with the holder and with later reports of the same start time. That an earlier start has ended by then was not concluded, and without a holder the start time of the leave was not remembered.

Change: such a leave revokes the lease of the earlier start, and its start time counts as that of the last target, so that earlier ones need two reports.

--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -162,21 +162,31 @@
    */
   onLeave(leaving: Incarnation): void {
     const { held } = this;
-    if (held === undefined || !isSameIncarnation(held.report, leaving)) {
-      this.markEnded(leaving);
+    if (held !== undefined && isSameIncarnation(held.report, leaving)) {
+      this.endHolder(held, leaving.born);
       return;
     }
-    const report: HeldTarget = {
-      ...held.report,
-      born: leaving.born ?? held.report.born,
-      state: 'leaving',
-    };
+    this.markEnded(leaving);
+    if (held === undefined) this.lastBorn = latest(this.lastBorn, leaving.born);
+    else if (isEarlierStart(held.report, leaving)) this.revoke(leaving);
+  }
+
+  private endHolder(held: HeldLease, born = held.report.born): void {
+    const report: HeldTarget = { ...held.report, born, state: 'leaving' };
     this.markEnded(report);
-    this.lastBorn = report.born;
+    this.lastBorn = born;
     this.held = { ...held, report };
     this.onChange();
   }
 
+  /** Revokes the lease of an earlier start of the target that leaves: it has ended, and its reports were late. */
+  private revoke(leaving: Incarnation): void {
+    this.lastBorn = leaving.born;
+    this.held = undefined;
+    this.candidate = undefined;
+    this.onChange();
+  }
+
   private renew(report: TargetReport): void {
     const before = this.held?.report;
     if (before !== undefined && report.sequence < before.sequence) return;
@@ -253,3 +263,13 @@
     this.replaced.delete(incarnation);
   }
 }
+
+/** Whether both are starts of one target, and the second is the later one. */
+function isEarlierStart(first: Incarnation, second: Incarnation): boolean {
+  return first.instance === second.instance && startedLater(second, first);
+}
+
+/** Returns the later of two start times in milliseconds since 1970, each of which may be unknown. */
+function latest(first: number | undefined, second: number | undefined): number | undefined {
+  return first === undefined || second === undefined ? (first ?? second) : Math.max(first, second);
+}
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -253,6 +253,21 @@
     }
   });
 
+  // Guards against using a deregistered target through late reports of an earlier start under the same id.
+  it('ends with the leave of a later start under the same id, also before late reports of the earlier one', () => {
+    for (const isLeaveFirst of [false, true]) {
+      const { held } = lease();
+      if (isLeaveFirst) held.onLeave({ instance: 'i-1', born: 2_000 });
+      held.onReport(report('i-1', 90, { born: 1_000 }));
+      held.onLeave({ instance: 'i-1', born: 2_000 });
+      expect(held.isReady).to.equal(false);
+      held.onReport(report('i-1', 91, { born: 1_000 }));
+      expect(held.isReady).to.equal(false);
+      held.onReport(report('i-1', 1, { born: 3_000 }));
+      expect(held.isReady).to.equal(true);
+    }
+  });
+
   it('comes back with the first report after the late leave of an earlier start under the same id', () => {
     const { held } = lease();
     held.onReport(probed('i-1'));
