Lease: reports around a leave without a start time confirm nothing by themselves

Callers saw: a target that left without a start time was used again after one late report, if another report of its id had come before the leave, or if a late report of an earlier start held the lease. And a sound later start stayed without a lease for one report more if a late report of an earlier start, or a refused call to the target that left, came between its first two.

Cause: leaves of these targets carry no start time, so the two-report rule decides. It counted a report from before the leave; after a holder whose start time only one report had told it did not apply at all; and every other report or refused call began the count anew.

Change: a leave ends the count of its id. Where one report told the holder's start time, the leave also counts for other starts. An earlier start does not replace a later candidate, and that a leaving holder refuses connections does not end the count.

--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -57,13 +57,13 @@
   readonly report: HeldTarget;
   /** When the report was received, in milliseconds on the clock. */
   readonly receivedAt: number;
+  /** Whether two reports have told the start time. */
+  readonly isStartConfirmed: boolean;
 }
 
 /** The first report of another incarnation that may take over the lease. */
 interface Candidate {
-  /** Name of the incarnation. */
-  readonly name: string;
-  readonly sequence: number;
+  readonly report: TargetReport;
   readonly receivedAt: number;
 }
 
@@ -152,7 +152,8 @@
     if (held === undefined || this.heldName !== name) return;
     this.refused.add(held.report);
     this.held = undefined;
-    this.candidate = undefined;
+    // That a leaving target has ended is no reason to doubt the reports of its successor.
+    if (held.report.state !== 'leaving') this.candidate = undefined;
     this.onChange();
   }
 
@@ -163,7 +164,7 @@
   onLeave(leaving: Incarnation): void {
     const { held } = this;
     if (held !== undefined && isSameIncarnation(held.report, leaving)) {
-      this.endHolder(held, leaving.born);
+      this.endHolder(held, leaving);
       return;
     }
     this.markEnded(leaving);
@@ -171,9 +172,12 @@
     else if (isEarlierStart(held.report, leaving)) this.revoke(leaving);
   }
 
-  private endHolder(held: HeldLease, born = held.report.born): void {
+  private endHolder(held: HeldLease, leaving: Incarnation): void {
+    const { born = held.report.born } = leaving;
     const report: HeldTarget = { ...held.report, born, state: 'leaving' };
     this.markEnded(report);
+    // A single report may have been a late one of an earlier start; the leave is of the one that runs.
+    if (!held.isStartConfirmed) this.markEnded(leaving);
     this.lastBorn = born;
     this.held = { ...held, report };
     this.onChange();
@@ -194,7 +198,11 @@
     const state = before?.state === 'leaving' ? 'leaving' : report.state;
     const born = report.born ?? before?.born;
     const incarnation = before?.incarnation ?? incarnationName(report);
-    this.held = { report: { ...report, state, born, incarnation }, receivedAt: this.clock.now() };
+    this.held = {
+      report: { ...report, state, born, incarnation },
+      receivedAt: this.clock.now(),
+      isStartConfirmed: born !== undefined && before?.born === born,
+    };
     this.rememberHolder(incarnation, { instance: report.instance, born });
     this.lastBorn = born;
     // The one that left without a start time was another incarnation.
@@ -231,17 +239,21 @@
     return born !== undefined && this.lastBorn !== undefined && born < this.lastBorn;
   }
 
-  /** Whether a report follows an earlier one of the candidate; if not, its sender becomes the candidate. */
+  /** Whether a report follows an earlier one of the candidate; if not, its sender may become the candidate. */
   private confirmsCandidate(report: TargetReport): boolean {
     const { candidate } = this;
     const receivedAt = this.clock.now();
-    const name = incarnationName(report);
-    if (candidate?.name !== name) {
-      this.candidate = { name, sequence: report.sequence, receivedAt };
-      return false;
+    if (candidate !== undefined && isSameStart(candidate.report, report)) {
+      const isApart = receivedAt - candidate.receivedAt >= MIN_REPORT_GAP_MS;
+      return isApart && report.sequence > candidate.report.sequence;
     }
-    const isApart = receivedAt - candidate.receivedAt >= MIN_REPORT_GAP_MS;
-    return isApart && report.sequence > candidate.sequence;
+    // Late reports of earlier starts must not keep the candidate from its second report.
+    const isOutdated =
+      candidate !== undefined &&
+      startedLater(candidate.report, report) &&
+      receivedAt - candidate.receivedAt < this.leaseMs;
+    if (!isOutdated) this.candidate = { report, receivedAt };
+    return false;
   }
 
   private takeOver(held: HeldLease, report: TargetReport): void {
@@ -261,9 +273,15 @@
   private markEnded(incarnation: Incarnation): void {
     this.ended.add(incarnation);
     this.replaced.delete(incarnation);
+    // Its reports until now no longer confirm that it is running.
+    if (this.candidate?.report.instance === incarnation.instance) this.candidate = undefined;
   }
 }
 
+function isSameStart(first: Incarnation, second: Incarnation): boolean {
+  return incarnationName(first) === incarnationName(second);
+}
+
 /** Whether both are starts of one target, and the second is the later one. */
 function isEarlierStart(first: Incarnation, second: Incarnation): boolean {
   return first.instance === second.instance && startedLater(second, first);
--- a/test/membership/target-lease.test.ts
+++ b/test/membership/target-lease.test.ts
@@ -282,6 +282,40 @@
     expect(held.current).to.include({ instance: 'i-2' });
   });
 
+  // Guards against using a deregistered target after one late report when another came before its leave.
+  it('is not acquired by a report before and a report after a leave without a start time', () => {
+    const { held, clock } = lease();
+    held.onLeave({ instance: 'i-1' });
+    held.onReport(report('i-1', 1, { born: 2_000 }));
+    clock.advance(REPORT_GAP_MS);
+    held.onLeave({ instance: 'i-1' });
+    held.onReport(report('i-1', 2, { born: 2_000 }));
+    expect(held.isReady).to.equal(false);
+  });
+
+  // Guards against using a deregistered target whose lease a late report of an earlier start had acquired.
+  it('is not taken over by one late report after a leave without a start time ended another start', () => {
+    const { held } = lease();
+    held.onReport(report('i-1', 90, { born: 1_000 }));
+    held.onLeave({ instance: 'i-1' });
+    held.onReport(report('i-1', 8, { born: 2_000 }));
+    expect(held.isReady).to.equal(false);
+  });
+
+  // Guards against a sound target that never gets its lease because late messages reset its candidacy.
+  it('is acquired by the second report of a candidate in spite of messages of an earlier start', () => {
+    const { held, clock } = lease();
+    held.onReport(probed('i-1'));
+    held.onLeave({ instance: 'i-1' });
+    held.onReport(report('i-1', 1, { born: 2_000 }));
+    held.onConnectionRefused('i-1');
+    clock.advance(REPORT_GAP_MS / 2);
+    held.onReport(report('i-1', 90, { born: 1_000 }));
+    clock.advance(REPORT_GAP_MS / 2);
+    held.onReport(report('i-1', 2, { born: 2_000 }));
+    expect(held.isReady).to.equal(true);
+  });
+
   it('comes back with the first report after the late leave of an earlier start under the same id', () => {
     const { held } = lease();
     held.onReport(probed('i-1'));
