An answer that breaks off before its first body byte gets a status

Callers saw: a closed connection without a byte of an answer, after up to the whole deadline, when a target sent a sound head and then the size or the extension of a chunk, or trailers, without end, or when it broke off there.

Cause: once the head of an answer had arrived the request counted as answered, and what broke off ended with the connection. But Node.js sends a head with the first byte of the body, so nothing had been sent and the head was still to be chosen.

Change: the ingress of a sidecar, edges and the outgoing side of nodes write a head with the first byte of the body or its end (DeferredResponse). An answer that breaks off before is refused with 502, verdict `ran`, and the connection of the client stays usable. The incoming side of a node keeps closing: its caller is a process of ours that tells a broken answer by that.

Not changed: bytes that can't become an answer are read until the deadline.

--- a/src/edge/edge-server.ts
+++ b/src/edge/edge-server.ts
@@ -176,7 +176,7 @@
         this.refuse(result.refusal);
         return;
       case 'broken':
-        this.abortResponse();
+        this.abortResponse(this.context.requestId);
         return;
       case 'relayed':
         this.countRelayed(this.options.clock.now() - this.startedAt);
--- a/src/http/caller-exchange.ts
+++ b/src/http/caller-exchange.ts
@@ -27,6 +27,14 @@
   return { reason, verdict: 'not-run', retryAfterSeconds: NO_RETRY_AFTER, detail };
 }
 
+/** The refusal for a request whose answer broke off before the first byte of its body. */
+const BROKEN_ANSWER: Refusal = {
+  reason: 'broken-answer',
+  verdict: 'ran',
+  retryAfterSeconds: NO_RETRY_AFTER,
+  detail: 'The answer of the target broke off.',
+};
+
 export abstract class CallerExchange {
   /** The request body, once it is read. */
   private body: RequestBody | undefined;
@@ -85,10 +93,13 @@
     if (durationMs !== undefined) counts.onLatency(durationMs);
   }
 
-  /** Aborts a response that has begun, so that the caller does not treat it as complete. */
-  protected abortResponse(): void {
+  /**
+   * Ends a request whose answer broke off: aborts the response if it has begun, so that the caller does not treat it as
+   * complete; otherwise refuses the request.
+   */
+  protected abortResponse(requestId: string): void {
     this.stats.statsFor(this.statsName).broken += 1;
-    this.response.destroy();
+    writeRefusal(this.response, BROKEN_ANSWER, requestId);
   }
 
   protected writeRefusal(refusal: Refusal, requestId: string, extraHeaders?: RawHeaders): void {
--- a/src/http/node-transport.ts
+++ b/src/http/node-transport.ts
@@ -23,6 +23,7 @@
 import type { EndpointRecord } from '../call/endpoint.js';
 import type { ConnectionPools } from './connection-pools.js';
 import type { RawHeaders } from './header-filter.js';
+import { DeferredResponse } from './deferred-response.js';
 import { RelayHandler, type RelayPolicy } from './relay-handler.js';
 import { filterRequestHeaders, forwardRequest } from './forward-request.js';
 import type { RequestBody } from './request-body.js';
@@ -65,7 +66,11 @@
       LINK_HEADER,
       linkToken,
     ];
-    const handler = new RelayHandler(this.response, this.createRelayPolicy(), listener);
+    const handler = new RelayHandler(
+      new DeferredResponse(this.response),
+      this.createRelayPolicy(),
+      listener,
+    );
     return forwardRequest(pools.get(endpoint.origin), { message, body, headers }, handler);
   }
 
--- a/src/ingress/ingress-exchange.ts
+++ b/src/ingress/ingress-exchange.ts
@@ -234,7 +234,7 @@
         return;
       case 'broken':
         journal.onIngressFailure(this.record(), 'broken');
-        this.abortResponse();
+        this.abortResponse(this.context.requestId);
         return;
       case 'relayed': {
         const heldMs = clock.now() - this.startedAt;
--- a/src/link/peer-transport.ts
+++ b/src/link/peer-transport.ts
@@ -13,6 +13,7 @@
   OutboundTransport,
 } from '../call/transport.js';
 import type { Clock } from '../common/clock.js';
+import { DeferredResponse } from '../http/deferred-response.js';
 import { filterEndToEndHeaders, type RawHeaders } from '../http/header-filter.js';
 import type { RequestBody } from '../http/request-body.js';
 import type { TargetHeaders } from '../http/target-headers.js';
@@ -72,7 +73,7 @@
   send(endpoint: EndpointRecord, envelope: AttemptMetadata, listener: AttemptListener): Attempt {
     const { message, body, headers, context } = this;
     const { clock, links } = this.options;
-    const attempt = new PeerAttempt(this.response, listener);
+    const attempt = new PeerAttempt(new DeferredResponse(this.response), listener);
     const stream = links.call(
       endpoint.origin,
       {
@@ -105,7 +106,7 @@
   private bufferedBytes = 0;
 
   constructor(
-    private readonly response: ServerResponse,
+    private readonly response: DeferredResponse,
     private readonly listener: AttemptListener,
   ) {}
 
--- a/src/node/node-inbound-server.ts
+++ b/src/node/node-inbound-server.ts
@@ -183,7 +183,7 @@
         return;
       }
       case 'broken':
-        this.abortResponse();
+        this.abortResponse(this.context.requestId);
         return;
       case 'relayed':
         this.countRelayed(this.options.services.clock.now() - this.startedAt);
--- a/src/node/node-outbound-server.ts
+++ b/src/node/node-outbound-server.ts
@@ -134,7 +134,7 @@
         this.refuse(result.refusal);
         return;
       case 'broken':
-        this.abortResponse();
+        this.abortResponse(this.context.requestId);
         return;
       case 'relayed':
         // The callee's node records the latency.
