--- a/src/membership/target-lease.ts
+++ b/src/membership/target-lease.ts
@@ -21,6 +21,9 @@
  * The second report of a candidate in order, {@link MIN_REPORT_GAP_MS} after the first and with no report of the holder in
  * between, takes over the lease: a single one may have been delayed beyond the end of its sender.
  *
+ * Start times are optional. The answer to a health check is a report without one: it may be of any incarnation with its id.
+ * So may a leave without one, which is that of the holder if it has the id.
+ *
  * Times are those of the local clock. Start times are only compared with others of the same machine.
  */
 import type { Clock } from '../common/clock.js';
@@ -88,7 +91,7 @@
   private readonly refused = new IncarnationSet<TargetReport>(MAX_REMEMBERED);
   /** Incarnations that have held the lease, by name. */
   private readonly holders = new Map<string, Incarnation>();
-  /** Start time of the last holder, in milliseconds since 1970; undefined if it did not report one. */
+  /** Start time of the last target known, in milliseconds since 1970; undefined if it did not report one. */
   private lastBorn: number | undefined;
 
   /**
@@ -176,7 +179,7 @@
     const { born = held.report.born } = leaving;
     const report: HeldTarget = { ...held.report, born, state: 'leaving' };
     this.markEnded(report);
-    // A single report may have been a late one of an earlier start; the leave is of the one that runs.
+    // The one report that told the start time may have been a late one of an earlier start.
     if (!held.isStartConfirmed) this.markEnded(leaving);
     this.lastBorn = born;
     this.held = { ...held, report };
