--- a/test/membership/target-lease-orders.test.ts
+++ b/test/membership/target-lease-orders.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import type { Incarnation } from '../../src/membership/incarnation.js';
-import { TargetLease } from '../../src/membership/target-lease.js';
+import { TargetLease, type TargetReport } from '../../src/membership/target-lease.js';
 
 const LEASE_MS = 6_000;
 const REPORT_INTERVAL_MS = 1_500;
@@ -49,6 +49,11 @@
   acknowledgedAt?: number;
 }
 
+function createReport(incarnation: Incarnation, sequence: number): TargetReport {
+  const place = { service: 'ledger', address: '127.0.0.1:8080', slots: 8 };
+  return { ...incarnation, ...place, state: 'ready', sequence, coldRemainingMs: 0 };
+}
+
 /** Two incarnations of a target, one after the other, beside a sidecar that starts at any time. */
 class TwoIncarnations {
   readonly faults: string[] = [];
@@ -130,9 +135,7 @@
   }
 
   private report({ instance, born }: Run, sequence: number): void {
-    const place = { service: 'ledger', address: '127.0.0.1:8080', slots: 8 };
-    const state = 'ready' as const;
-    this.lease.onReport({ instance, born, ...place, state, sequence, coldRemainingMs: 0 });
+    this.lease.onReport(createReport({ instance, born }, sequence));
   }
 
   private reportSecond(sequence: number): void {
@@ -153,15 +156,7 @@
     if (!isHealthy) return;
     const { instance } = run;
     this.clock.schedule(this.plan.probeMs, () => {
-      const place = { service: 'ledger', address: '127.0.0.1:8080', slots: 8 };
-      const found = {
-        instance,
-        ...place,
-        state: 'ready' as const,
-        sequence: 0,
-        coldRemainingMs: 0,
-      };
-      if (this.lease.current === undefined) this.lease.onReport(found);
+      if (this.lease.current === undefined) this.lease.onReport(createReport({ instance }, 0));
     });
   }
 
