The first change waits until the replica set bears the tolerated losses

Cause: the set is formed by three seeds and grows one voter at a time. Until it has five, a change that two of three hold is lost with two disks, and so is the majority.

Change: a leader whose log holds no command yet keeps proposals until the set has 2 * lossTolerance + 1 voters, for three election timeouts at most; a voter that is missing for longer counts as lost already. They are kept before they are appended, so a proposal that is given up has not run. Joins and promotions are taken up as soon as the set may change, not at the next heartbeat, so that this wait is short.

The same covers the loss of the disks while all other machines lose power: an entry counts for a replica once it is synced.

Ruled out: to wait before every change (a repair with four voters would hold up acknowledgements), and to count more copies than a majority (keeps the change, not a majority that could serve it).

--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -4,6 +4,8 @@
  */
 import type { Timer } from '../common/clock.js';
 import type { AppliedLog } from './applied-log.js';
+import { HeldProposals } from './held-proposals.js';
+import { bearableLosses } from './loss-tolerance.js';
 import { isMajority, majorityValue } from './peer-progress.js';
 import { PeerReplication } from './peer-replication.js';
 import { PendingReads } from './pending-reads.js';
@@ -24,6 +26,9 @@
   /** Start of the newest heartbeat round that a majority has answered; undefined before the first. */
   private confirmedSince: number | undefined;
   private lastTermBefore = 0;
+  private readonly heldProposals: HeldProposals;
+  /** Replicas that asked to join while the set could not be changed, by name. */
+  private readonly pendingJoins = new Map<string, Replica>();
 
   constructor(
     protected readonly state: RaftState,
@@ -31,6 +36,9 @@
     private readonly reads: PendingReads,
   ) {
     this.peers = new PeerReplication(state);
+    this.heldProposals = new HeldProposals(state, (data, callback) =>
+      this.append({ type: 'command', data }, callback),
+    );
     state.onStepDown(() => this.endLeadership());
   }
 
@@ -44,6 +52,15 @@
     return this.state.role === 'leader' ? this.lastTermBefore : undefined;
   }
 
+  /** See `RaftStatus.bearableLosses`. */
+  get bearableLosses(): number | undefined {
+    const { role, log } = this.state;
+    if (role !== 'leader') return undefined;
+    const { voters } = log.replicas;
+    const responsive = voters.filter(({ identity }) => !this.isUnresponsive(identity));
+    return bearableLosses(voters.length, responsive.length);
+  }
+
   /** Starts leading after an election was won. */
   becomeLeader(): void {
     const { state } = this;
@@ -51,6 +68,7 @@
     state.leader = state.self;
     this.peers.clear();
     this.lastTermBefore = state.log.lastTerm;
+    this.heldProposals.begin();
     this.append(this.firstPayload());
     this.heartbeat();
   }
@@ -66,8 +84,13 @@
     state.stepDown();
   }
 
+  /** Proposes a command. The first ones wait until the set bears the tolerated losses. */
+  propose(data: Uint8Array, callback: ProposalCallback): void {
+    this.heldProposals.add(data, callback);
+  }
+
   /** Appends an entry to the log and replicates it. `callback` receives the outcome. */
-  append(payload: EntryPayload, callback?: ProposalCallback): void {
+  private append(payload: EntryPayload, callback?: ProposalCallback): void {
     const { state } = this;
     const entry: LogEntry = { index: state.log.lastIndex + 1, term: state.term, payload };
     if (callback !== undefined) this.applied.trackProposal(entry.index, entry.term, callback);
@@ -91,9 +114,9 @@
       this.state.send(leader, request);
       return;
     }
-    if (!this.mayChangeReplicas()) return;
-    const next = withLearner(this.state.log.replicas, request.from);
-    if (next !== undefined) this.appendReplicas(next);
+    if (role !== 'leader') return;
+    this.pendingJoins.set(request.from.name, request.from);
+    this.changeReplicas();
   }
 
   onAppendResponse(response: AppendResponse): void {
@@ -102,6 +125,7 @@
     const progress = this.peers.onResponse(response);
     if (response.success) this.advanceCommit();
     this.confirmReads();
+    this.changeReplicas();
     this.peers.sendIfBehind(response.from.identity, progress);
   }
 
@@ -125,7 +149,9 @@
     this.timer?.cancel();
     this.peers.clear();
     this.confirmedSince = undefined;
+    this.pendingJoins.clear();
     this.reads.failUnconfirmed();
+    this.heldProposals.end();
     this.applied.failProposals({ type: 'unknown' });
   }
 
@@ -220,17 +246,35 @@
   private changeReplicas(): void {
     if (!this.mayChangeReplicas()) return;
     const { state } = this;
-    const unresponsiveMs = UNRESPONSIVE_TIMEOUTS * state.options.electionTimeoutMs;
-    const next = nextReplicaChange(state.log.replicas, {
-      hasCaughtUp: (identity) => this.hasCaughtUp(identity),
-      isUnresponsive: (identity) =>
-        identity !== state.identity &&
-        state.now - this.peers.progressOf(identity).lastResponseAt > unresponsiveMs,
-      maxVoters: state.options.maxVoters ?? Infinity,
-    });
+    const next =
+      this.nextJoin() ??
+      nextReplicaChange(state.log.replicas, {
+        hasCaughtUp: (identity) => this.hasCaughtUp(identity),
+        isUnresponsive: (identity) => this.isUnresponsive(identity),
+        maxVoters: state.options.maxVoters ?? Infinity,
+      });
     if (next !== undefined) this.appendReplicas(next);
   }
 
+  /** Returns the set with the next replica that asked to join; undefined if all of them are in it. */
+  private nextJoin(): ReplicaSet | undefined {
+    for (const [name, replica] of this.pendingJoins) {
+      this.pendingJoins.delete(name);
+      const next = withLearner(this.state.log.replicas, replica);
+      if (next !== undefined) return next;
+    }
+    return undefined;
+  }
+
+  private isUnresponsive(identity: string): boolean {
+    const { state } = this;
+    const unresponsiveMs = UNRESPONSIVE_TIMEOUTS * state.options.electionTimeoutMs;
+    return (
+      identity !== state.identity &&
+      state.now - this.peers.progressOf(identity).lastResponseAt > unresponsiveMs
+    );
+  }
+
   /** Whether the replica has synced all committed entries. A learner must do so before it becomes a voter. */
   protected hasCaughtUp(identity: string): boolean {
     return this.peers.progressOf(identity).matchIndex >= this.state.commitIndex;
@@ -238,5 +282,6 @@
 
   private appendReplicas(replicas: ReplicaSet): void {
     this.append({ type: 'replicas', replicas });
+    this.heldProposals.releaseIfComplete();
   }
 }
--- a/src/consensus/raft-log.ts
+++ b/src/consensus/raft-log.ts
@@ -40,6 +40,11 @@
     return this.latestSnapshot;
   }
 
+  /** Whether the log holds a command, or did before it was compacted. */
+  get hasCommands(): boolean {
+    return this.baseIndex > 0 || this.entries.some(({ payload }) => payload.type === 'command');
+  }
+
   /** Term of the entry at `index`; undefined if the entry was compacted or does not exist. */
   termAt(index: number): number | undefined {
     if (index === this.baseIndex) return this.baseTerm;
--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -77,6 +77,7 @@
       failed,
       confirmedAt: this.leadership.confirmedAt,
       previousTerm: this.leadership.previousTerm,
+      bearableLosses: this.leadership.bearableLosses,
     };
   }
 
@@ -84,7 +85,7 @@
   propose(data: Uint8Array, callback: ProposalCallback): void {
     const { state } = this;
     if (state.failed) callback({ type: 'failed-storage' });
-    else if (state.role === 'leader') this.leadership.append({ type: 'command', data }, callback);
+    else if (state.role === 'leader') this.leadership.propose(data, callback);
     else callback({ type: 'not-leader', leader: state.leader });
   }
 
--- a/src/consensus/raft-options.ts
+++ b/src/consensus/raft-options.ts
@@ -28,6 +28,11 @@
    * unresponsive. Default: unlimited.
    */
   readonly maxVoters?: number | undefined;
+  /**
+   * Number of replicas that may be lost at once, with their disks. The first commands wait until the set has enough voters
+   * to bear that (see `held-proposals.ts`). Default: 0.
+   */
+  readonly lossTolerance?: number | undefined;
   /** Called when a write or sync failed. The replica processes no further messages. */
   readonly onStorageFailure: (error: Error) => void;
 }
@@ -64,4 +69,6 @@
    * appended one, so none led between that term and this one.
    */
   readonly previousTerm: number | undefined;
+  /** On a leader: number of replicas that can be lost now, with their disks. Undefined on other replicas. */
+  readonly bearableLosses: number | undefined;
 }
--- a/src/consensus/replica-host.ts
+++ b/src/consensus/replica-host.ts
@@ -31,6 +31,8 @@
   readonly snapshotInterval?: number | undefined;
   /** See `RaftOptions.maxVoters`. */
   readonly maxVoters?: number | undefined;
+  /** See `RaftOptions.lossTolerance`. */
+  readonly lossTolerance?: number | undefined;
   /** Generates the identity of a new data folder. Must never return the same value twice. */
   readonly generateIdentity: () => string;
   /** Called on every phase change. `problem` says why the replica is not running. */
@@ -255,6 +257,7 @@
         contacts,
         snapshotInterval: this.options.snapshotInterval,
         maxVoters: this.options.maxVoters,
+        lossTolerance: this.options.lossTolerance,
         onStorageFailure: (error) => this.fail(error),
       },
       persisted,
--- a/src/control/command-log.ts
+++ b/src/control/command-log.ts
@@ -37,6 +37,8 @@
   status(): LogStatus;
   /** The terms of this leader; undefined if this replica does not lead or no majority has confirmed it yet. */
   leaderTerms(): LeaderTerms | undefined;
+  /** Number of replicas that can be lost now, with their disks; undefined if this replica does not lead. */
+  bearableLosses(): number | undefined;
   /** Removes all replicas with a name. @returns false when this replica currently cannot */
   removeReplica(name: string): boolean;
   close(): Promise<void>;
--- a/src/control/replicated-command-log.ts
+++ b/src/control/replicated-command-log.ts
@@ -79,6 +79,10 @@
     return { term: status.term, previousTerm: status.previousTerm };
   }
 
+  bearableLosses(): number | undefined {
+    return this.host.raftStatus?.bearableLosses;
+  }
+
   removeReplica(name: string): boolean {
     return this.host.removeReplica(name);
   }
--- a/src/programs/control-parts.ts
+++ b/src/programs/control-parts.ts
@@ -14,6 +14,7 @@
 import { DeclarationService } from '../control/declaration-service.js';
 import { FollowerApi } from '../control/follower-api.js';
 import { LeadershipLogger } from '../control/leadership-logger.js';
+import { LossToleranceLogger } from '../control/loss-tolerance-logger.js';
 import { MemberTable } from '../control/member-table.js';
 import { PlatformListReader } from '../control/platform-list.js';
 import { QuarantineController } from '../control/quarantine-controller.js';
@@ -30,7 +31,7 @@
 import { DiskFiles } from '../storage/disk-files.js';
 import type { ControlSettings } from '../settings/control-settings.js';
 import { createProcessClock } from './clock-logger.js';
-import { createReplicaHost } from './control-replica.js';
+import { createReplicaHost, lossToleranceOf } from './control-replica.js';
 import type { RequestHandlers } from './control-routes.js';
 
 /** Deployment-specific options of a control replica. */
@@ -63,6 +64,7 @@
   readonly claimViews: ClaimViewController;
   readonly quarantines: QuarantineController;
   readonly leadership: LeadershipLogger;
+  readonly lossTolerance: LossToleranceLogger;
   /** Undefined if the settings have no `platformList`. */
   readonly platformList: PlatformListReader | undefined;
 }
@@ -114,7 +116,8 @@
 }
 
 function createPeriodicParts(parts: StoreParts): PeriodicParts {
-  const { clock, store, members, log, evidence, logger } = parts;
+  const { settings, clock, store, members, log, evidence, logger } = parts;
+  const replication = logger.part('replication');
   return {
     claimViews: new ClaimViewController(clock, store, members, log, wallClock),
     quarantines: new QuarantineController({
@@ -124,7 +127,8 @@
       wallClock,
       logger: logger.part('quarantine'),
     }),
-    leadership: new LeadershipLogger(logger.part('replication')),
+    leadership: new LeadershipLogger(replication),
+    lossTolerance: new LossToleranceLogger(replication, lossToleranceOf(settings)),
     platformList: createPlatformListReader(parts),
   };
 }
--- a/src/programs/control-program.ts
+++ b/src/programs/control-program.ts
@@ -65,7 +65,7 @@
       });
   });
   const registry = createMetricsRegistry();
-  registerControlMetrics(registry, store, notifier);
+  registerControlMetrics(registry, store, notifier, log);
   const admin = await startAdminServer({
     address: settings.admin,
     registry,
@@ -79,11 +79,12 @@
 
 /** Starts the timers of the member expiry and of the leader's checks. */
 function startChecks(parts: ControlParts): readonly NodeJS.Timeout[] {
-  const { log, leadership, quarantines } = parts;
+  const { log, leadership, lossTolerance, quarantines } = parts;
   return [
     setInterval(() => checkMembers(parts), EXPIRE_INTERVAL_MS),
     setInterval(() => {
       leadership.logChange(log.status());
+      lossTolerance.logChange(log.bearableLosses());
       quarantines.check();
     }, LEADER_CHECK_INTERVAL_MS),
   ];
--- a/src/programs/control-replica.ts
+++ b/src/programs/control-replica.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
 import { ReplicaHost, type ReplicaHostOptions } from '../consensus/replica-host.js';
+import { bearableLosses, votersToBear } from '../consensus/loss-tolerance.js';
 import type { ChangeNotifier } from '../control/change-notifier.js';
 import { ReplicationSender } from '../control/replication-link.js';
 import type { ResourceStore } from '../control/resource-store.js';
@@ -29,7 +30,8 @@
     stateMachine: new StoreMachine(store, () => notifier.notify()),
     ...topologyOf(settings),
     electionTimeoutMs,
-    maxVoters: settings.voters,
+    maxVoters: maxVotersOf(settings),
+    lossTolerance: lossToleranceOf(settings),
     generateIdentity: () => randomUUID(),
     onPhaseChange: (phase, problem) => {
       if (phase === 'damaged' || phase === 'failed') {
@@ -39,6 +41,18 @@
   });
 }
 
+/** Number of replicas that may be lost at once. Without the setting, as many as `voters` can bear. */
+export function lossToleranceOf({ voters = 1, lossTolerance }: ControlSettings): number {
+  return lossTolerance ?? bearableLosses(voters, voters);
+}
+
+/** `voters`, or as many as the loss tolerance needs. */
+function maxVotersOf(settings: ControlSettings): number | undefined {
+  const { voters } = settings;
+  if (voters === undefined) return undefined;
+  return Math.max(voters, votersToBear(lossToleranceOf(settings)));
+}
+
 /** Name, origin and role of a replica, and the peers with which it forms or joins the cluster. */
 type ReplicaTopology = Pick<ReplicaHostOptions, 'name' | 'origin' | 'role' | 'contacts' | 'join'>;
 
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -40,6 +40,11 @@
     bootstrap: z.boolean().default(false),
     /** Maximum number of voters; further replicas are standbys. Unlimited if absent. */
     voters: z.number().int().min(1).max(15).optional(),
+    /**
+     * Number of replicas that may be lost at once, with their disks. The first change is accepted once the set has the voters
+     * to bear that, twice as many and one, or after three election timeouts. Default: what `voters` can bear, 0 without it.
+     */
+    lossTolerance: z.number().int().min(0).max(7).optional(),
     /** Members are removed from the list of endpoints after this time without a heartbeat. */
     memberLeaseMs: z.number().int().min(500).max(600_000).default(DEFAULT_MEMBER_LEASE_MS),
     quota: quotaRuleSchema,
--- a/test/pins/program-lines.test.ts
+++ b/test/pins/program-lines.test.ts
@@ -264,4 +264,5 @@
   '30 control: Stopped. {}',
   '30 replication: Role or leader changed. {leader, role, term}',
   '30 replication: The replica changed its phase. {phase}',
+  '30 replication: The replica set bears the tolerated losses. {bearable, tolerated}',
 ];
--- a/test/support/raft-cluster.ts
+++ b/test/support/raft-cluster.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from '../../src/common/random.js';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
 import { RaftNode } from '../../src/consensus/raft-node.js';
-import type { ProposalOutcome } from '../../src/consensus/raft-options.js';
+import type { ProposalOutcome, RaftOptions } from '../../src/consensus/raft-options.js';
 import type { MessageTarget, RaftMessage } from '../../src/consensus/raft-types.js';
 import type { RaftStorage, Replica, ReplicaSet } from '../../src/storage/persisted-state.js';
 import {
@@ -34,6 +34,7 @@
     private readonly mechanisms: Partial<RaftMechanisms> = {},
     learners: readonly string[] = [],
     private readonly skippedDraws = 0,
+    private readonly options: Pick<RaftOptions, 'lossTolerance' | 'maxVoters'> = {},
   ) {
     const replicas: ReplicaSet = {
       voters: names.map(replicaOf),
@@ -113,6 +114,7 @@
         self: replicaOf(name),
         electionTimeoutMs: ELECTION_TIMEOUT_MS,
         contacts: [...this.nodes.keys()],
+        ...this.options,
         onStorageFailure: (error) => {
           throw error;
         },
