--- a/lab/simulator/replication/replication-faults.ts
+++ b/lab/simulator/replication/replication-faults.ts
@@ -15,7 +15,10 @@
   private readonly faults: readonly Fault[];
   private haveFaultsEnded = false;
 
-  constructor(private readonly world: ReplicationWorld) {
+  constructor(
+    private readonly world: ReplicationWorld,
+    private readonly losesPowerWithDisks: boolean,
+  ) {
     this.faults = [
       (replica) => this.crash(replica),
       (replica) => this.stop(replica),
@@ -89,6 +92,8 @@
     replica.crash();
     replica.disk.wipe();
     this.scheduleRecovery(() => this.restartIfDown(replica));
+    if (!this.losesPowerWithDisks) return;
+    for (const other of this.world.replicas) if (other !== replica) this.crash(other);
   }
 
   private fillDisk(replica: SimReplica): void {
--- a/lab/simulator/replication/replication-world.ts
+++ b/lab/simulator/replication/replication-world.ts
@@ -33,6 +33,8 @@
   readonly mechanisms: ReplicationMechanisms;
   /** Whether followers bound the age of their configuration by heartbeats and are checked for it. Default false. */
   readonly tracksFollowerStaleness?: boolean;
+  /** Whether all other replicas lose power whenever a disk is lost. Default false. */
+  readonly losesPowerWithDisks?: boolean;
 }
 
 export interface ReplicationResult {
@@ -104,7 +106,7 @@
 
   execute(): ReplicationResult {
     for (const process of [...this.replicas, ...this.writers, ...this.followers]) process.start();
-    const faults = new ReplicationFaults(this);
+    const faults = new ReplicationFaults(this, this.run.losesPowerWithDisks ?? false);
     while (this.clock.now() < this.run.faultMs) {
       this.step();
       faults.maybeInject();
--- a/test/consensus/replication-simulation.test.ts
+++ b/test/consensus/replication-simulation.test.ts
@@ -4,10 +4,12 @@
   ReplicationWorld,
   type ReplicationMechanisms,
   type ReplicationResult,
+  type ReplicationRun,
 } from '../../lab/simulator/replication/replication-world.js';
 
 const SEEDS = 1_000;
 const SEEDS_WITHOUT_MECHANISM = 60;
+const SEEDS_WITH_POWER_LOSS = 300;
 /** Seeds outside the range that found violations. */
 const EARLIER_FAILURES = [
   // A second replica set was formed from an outdated probe response.
@@ -15,14 +17,22 @@
 ];
 const FAULT_MS = 8_000;
 
-function simulate(seed: number, off: Partial<ReplicationMechanisms> = {}): ReplicationResult {
+function simulate(
+  seed: number,
+  off: Partial<ReplicationMechanisms> = {},
+  options: Pick<ReplicationRun, 'losesPowerWithDisks'> = {},
+): ReplicationResult {
   const mechanisms = { ...ALL_REPLICATION_MECHANISMS, ...off };
-  return new ReplicationWorld({ seed, faultMs: FAULT_MS, mechanisms }).execute();
+  return new ReplicationWorld({ seed, faultMs: FAULT_MS, mechanisms, ...options }).execute();
 }
 
-function seedsWithViolations(count: number, off: Partial<ReplicationMechanisms>): number[] {
+function seedsWithViolations(
+  count: number,
+  off: Partial<ReplicationMechanisms>,
+  options: Pick<ReplicationRun, 'losesPowerWithDisks'> = {},
+): number[] {
   const seeds = Array.from({ length: count }, (_, index) => index + 1);
-  return seeds.filter((seed) => simulate(seed, off).violations.length > 0);
+  return seeds.filter((seed) => simulate(seed, off, options).violations.length > 0);
 }
 
 describe('the replicated store under faults', function () {
@@ -46,6 +56,13 @@
     });
   }
 
+  it(`holds its promises with ${SEEDS_WITH_POWER_LOSS} seeds if all lose power as a disk is lost`, () => {
+    const options = { losesPowerWithDisks: true };
+    expect(seedsWithViolations(SEEDS_WITH_POWER_LOSS, {}, options)).to.deep.equal([]);
+    const off = { syncBeforeAnswer: false };
+    expect(seedsWithViolations(SEEDS_WITHOUT_MECHANISM, off, options)).to.not.deep.equal([]);
+  });
+
   it('gives the same run for the same seed', () => {
     expect(simulate(7)).to.deep.equal(simulate(7));
   });
