Consensus: a majority of the seeds forms the replica set, by single-decree Paxos

Callers saw: no configuration was ever acknowledged and no request served after one seed was killed in the first half second of a deployment's life, although all processes ran.

Cause: the set was formed by a promise of all seeds. A seed that was killed before its promise was written and came back with bootstrap: false ran as a joining replica, which answers no probe, while the others waited for it; one that stayed away blocked the set as well.

Change: the seeds whose data folder was created with bootstrap: true are acceptors, with a record that is synced before each answer; a majority decides. A seed without a record is no acceptor: it may have forgotten a promise. With a list of replicas the quorum is all of them, as before. Joining replicas answer probes and ask more often, so that they are in the first set; the replica that formed it stands for election at once.

Golden messages: seven cases added, none changed.

--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -12,6 +12,8 @@
 
 /** Minimum of the first timeout after the start of a replica, in election timeouts. Doubled for each further one, up to 1. */
 const MIN_FIRST_TIMEOUT_FRACTION = 0.25;
+/** Delay of the first election by the replica that formed the set, in election timeouts: the others have to write the set. */
+const FORMED_DELAY_FRACTION = 0.02;
 /** Minimum range of the random part, in election timeouts, so that few votes are split. */
 const MIN_SPREAD_FRACTION = 0.5;
 
@@ -41,6 +43,15 @@
     this.timer = options.clock.schedule(delayMs, () => this.onTimeout());
   }
 
+  /** Starts an election after a short delay instead of the first timeout: a set was formed, and has no leader yet. */
+  startSoon(): void {
+    const { options } = this.state;
+    // The timeout that follows doubles the minimum.
+    this.minTimeoutFraction = MIN_FIRST_TIMEOUT_FRACTION / 2;
+    const delayMs = options.electionTimeoutMs * FORMED_DELAY_FRACTION;
+    this.timer = options.clock.schedule(delayMs, () => this.onTimeout());
+  }
+
   stop(): void {
     this.timer?.cancel();
   }
--- /dev/null
+++ b/src/consensus/proposal-schedule.ts
@@ -0,0 +1,66 @@
+/**
+ * Decides when a bootstrapping replica proposes a replica set: soon, but with as many replicas as can be expected, and
+ * rarely at the same time as others, since competing proposals delay each other.
+ */
+import type { RandomSource } from '../common/random.js';
+
+// All in election timeouts.
+/** Wait for further replicas once all acceptors are known: each would have to be added by itself later. */
+const SETTLE_TIMEOUTS = 0.25;
+/** Wait for acceptors that don't answer, once a quorum does. */
+const MISSING_ACCEPTOR_TIMEOUTS = 1;
+/** Minimum and random part of the wait for a proposal that is under way, here or elsewhere. */
+const MIN_BACKOFF_TIMEOUTS = 0.25;
+const BACKOFF_SPREAD_TIMEOUTS = 0.5;
+
+/** What is known about the other replicas. */
+export interface FormationView {
+  readonly isQuorumAnswering: boolean;
+  readonly hasAllAcceptors: boolean;
+  readonly hasAllVoters: boolean;
+  /** Whether this replica proposes first: no acceptor that answers has a lower origin. */
+  readonly isFirst: boolean;
+}
+
+export class ProposalSchedule {
+  /** Time since which a quorum answers. */
+  private quorumSince: number | undefined;
+  /** Time since which all acceptors are known. */
+  private allSince: number | undefined;
+  /** Time of the next proposal; undefined until there is reason for one. */
+  private nextAt: number | undefined;
+
+  constructor(
+    private readonly random: RandomSource,
+    private readonly electionTimeoutMs: number,
+  ) {}
+
+  /** Whether to propose now. */
+  isDue(view: FormationView, now: number): boolean {
+    if (!view.isQuorumAnswering) {
+      this.quorumSince = undefined;
+      return false;
+    }
+    this.quorumSince ??= now;
+    if (view.hasAllAcceptors) this.allSince ??= now;
+    if (!view.hasAllVoters && !this.hasWaited(now)) return false;
+    this.nextAt ??= view.isFirst ? now : now + this.drawBackoffMs();
+    return now >= this.nextAt;
+  }
+
+  /** Postpones the next proposal, because one has begun. */
+  postpone(now: number): void {
+    this.nextAt = now + this.drawBackoffMs();
+  }
+
+  private hasWaited(now: number): boolean {
+    const sinceQuorum = (now - this.quorumSince!) / this.electionTimeoutMs;
+    const sinceAll = (now - (this.allSince ?? now)) / this.electionTimeoutMs;
+    return sinceQuorum >= MISSING_ACCEPTOR_TIMEOUTS || sinceAll >= SETTLE_TIMEOUTS;
+  }
+
+  private drawBackoffMs(): number {
+    const timeouts = MIN_BACKOFF_TIMEOUTS + BACKOFF_SPREAD_TIMEOUTS * this.random.next();
+    return this.electionTimeoutMs * timeouts;
+  }
+}
--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -5,20 +5,15 @@
  */
 import { AppliedLog } from './applied-log.js';
 import { Election } from './election.js';
+import { JoinRequester } from './join-requester.js';
 import { Leadership } from './leadership.js';
 import { LogReceiver } from './log-receiver.js';
 import { ReadBatch } from './read-batch.js';
 import { PendingReads, type ReadCallback } from './pending-reads.js';
 import type { ProposalCallback, RaftOptions, RaftStatus } from './raft-options.js';
 import { RaftState } from './raft-state.js';
-import type {
-  ProbeFinding,
-  ProbeRequest,
-  RaftMessage,
-  ReadRequest,
-  ReadResponse,
-} from './raft-types.js';
-import type { PersistedState } from '../storage/persisted-state.js';
+import type { ProbeFinding, RaftMessage, ReadRequest, ReadResponse } from './raft-types.js';
+import type { PersistedState, Replica } from '../storage/persisted-state.js';
 
 /** Classes of a replica that the simulator can replace. */
 export interface RaftParts {
@@ -34,6 +29,7 @@
   private readonly election: Election;
   private readonly leadership: Leadership;
   private readonly receiver: LogReceiver;
+  private readonly joinRequester: JoinRequester;
   private readonly reads = new PendingReads();
   private readonly readBatch: ReadBatch;
   private readonly forwardedReads = new Map<number, ReadCallback>();
@@ -46,14 +42,20 @@
     this.leadership = new parts.Leadership(this.state, this.applied, this.reads);
     this.election = new parts.Election(this.state, () => this.leadership.becomeLeader());
     this.receiver = new LogReceiver(this.state, this.applied, this.election);
+    this.joinRequester = new JoinRequester(this.state);
     this.readBatch = new ReadBatch(options.clock, options.electionTimeoutMs, (callback) =>
       this.confirmRead(callback),
     );
   }
 
-  /** Starts the election timer. */
-  start(): void {
-    this.election.resetTimer();
+  /**
+   * Starts the election timer. A replica that is in no set yet requests to join one.
+   * @param startsElection whether to start an election almost at once, because there is no leader yet
+   */
+  start(startsElection = false): void {
+    if (startsElection) this.election.startSoon();
+    else this.election.resetTimer();
+    this.joinRequester.start();
   }
 
   /** Stops this replica. A leader first transfers leadership; pending proposals complete as `unknown`. */
@@ -61,6 +63,7 @@
     if (this.state.role === 'leader') this.leadership.transferLeadership();
     this.state.stopped = true;
     this.election.stop();
+    this.joinRequester.stop();
   }
 
   status(): RaftStatus {
@@ -135,8 +138,16 @@
         this.onReadResponse(message);
         return;
       case 'probe-request':
-        this.onProbeRequest(message);
+        this.reportState(message.from);
         return;
+      case 'form-prepare':
+      case 'form-accept':
+        // A proposer that has not heard that a set is formed.
+        if (this.hasReplicas) this.reportState(message.from);
+        return;
+      case 'form-promise':
+      case 'form-accepted':
+      case 'form-refusal':
       case 'probe-response':
       // Ignored: only a replica that is still bootstrapping uses these.
     }
@@ -185,13 +196,21 @@
     this.onReadIndex(response.readIndex, callback);
   }
 
-  private onProbeRequest(request: ProbeRequest): void {
-    const { self: from, term, log } = this.state;
-    // A replica that has not joined a replica set yet has nothing to report.
-    if (log.replicas.voters.length === 0) return;
-    const found: ProbeFinding =
-      log.lastIndex === 0 ? { type: 'formed', replicas: log.replicas } : { type: 'log' };
-    this.state.send(request.from, { type: 'probe-response', from, term, found });
+  private get hasReplicas(): boolean {
+    return this.state.log.replicas.voters.length > 0;
+  }
+
+  /** Tells a bootstrapping replica what is stored here. */
+  private reportState(to: Replica): void {
+    const { self: from, term } = this.state;
+    const found = this.findState();
+    this.state.send(to, { type: 'probe-response', from, term, found });
+  }
+
+  private findState(): ProbeFinding {
+    const { log } = this.state;
+    if (!this.hasReplicas) return { type: 'joining' };
+    return log.lastIndex === 0 ? { type: 'formed', replicas: log.replicas } : { type: 'log' };
   }
 }
 
--- a/src/consensus/raft-types.ts
+++ b/src/consensus/raft-types.ts
@@ -4,6 +4,7 @@
  * and membership changes of one server at a time, with learners (4.1, 4.2).
  */
 import type { Replica, ReplicaSet, LogEntry, Snapshot } from '../storage/persisted-state.js';
+import type { AcceptedSet, Ballot } from './formation.js';
 
 interface MessageBase {
   /** The sender. Responses go to it even if it is not in the receiver's replica set. */
@@ -95,12 +96,54 @@
 export type ProbeFinding =
   /** No log. `promised` is the replica set that the replica has promised to form, if any. */
   | { readonly type: 'empty'; readonly promised: readonly Replica[] | undefined }
+  /** No log and no say in forming a replica set: the replica waits to be added to one. */
+  | { readonly type: 'joining' }
   /** A replica set was formed, but the log has no entries yet. */
   | { readonly type: 'formed'; readonly replicas: ReplicaSet }
   /** The log has entries. */
   | { readonly type: 'log' };
 
+/** Message about a ballot of the formation of the initial replica set. See `formation.ts`. */
+interface FormationBase extends MessageBase {
+  readonly ballot: Ballot;
+  /** Origins of the acceptors that the sender knows of. Counts only if the receiver knows of the same. */
+  readonly acceptors: readonly string[];
+}
+
+/** Asks an acceptor to refuse all lower ballots. Paxos' phase 1a. */
+export interface FormPrepare extends FormationBase {
+  readonly type: 'form-prepare';
+}
+
+/** Paxos' phase 1b. */
+export interface FormPromise extends FormationBase {
+  readonly type: 'form-promise';
+  /** The set that the acceptor has accepted last, if any. */
+  readonly accepted: AcceptedSet | undefined;
+}
+
+/** Asks an acceptor to accept a replica set. Paxos' phase 2a. */
+export interface FormAccept extends FormationBase {
+  readonly type: 'form-accept';
+  readonly replicas: ReplicaSet;
+}
+
+/** Paxos' phase 2b. */
+export interface FormAccepted extends FormationBase {
+  readonly type: 'form-accepted';
+}
+
+/** Refuses a prepare or accept request. */
+export interface FormRefusal extends FormationBase {
+  readonly type: 'form-refusal';
+  /** The ballot that the acceptor has promised. */
+  readonly promised: Ballot;
+}
+
+export type FormationMessage = FormPrepare | FormPromise | FormAccept | FormAccepted | FormRefusal;
+
 export type RaftMessage =
+  | FormationMessage
   | VoteRequest
   | VoteResponse
   | AppendRequest
--- a/src/consensus/replica-host.ts
+++ b/src/consensus/replica-host.ts
@@ -11,6 +11,9 @@
 import type { ProposalCallback, RaftStatus } from './raft-options.js';
 import type { RaftMessage, RaftTransport, StateMachine } from './raft-types.js';
 import type { PersistedState, Replica, Snapshot } from '../storage/persisted-state.js';
+import { AcceptorStore } from './acceptor-store.js';
+import { DeferredMessages } from './deferred-messages.js';
+import type { AcceptorRecord } from './formation.js';
 import { type BootstrapDecision, ReplicaBootstrap } from './replica-bootstrap.js';
 import { ReplicaFolder } from './replica-folder.js';
 
@@ -27,6 +30,11 @@
   readonly contacts: readonly string[];
   /** Joins an existing replica set instead of forming one, to replace a lost replica or add a new one. */
   readonly join: boolean;
+  /**
+   * Origins of the replicas a majority of which forms the set, at their first start. If undefined, this replica and its
+   * contacts form it, all together.
+   */
+  readonly seeds?: readonly string[] | undefined;
   readonly electionTimeoutMs: number;
   readonly snapshotInterval?: number | undefined;
   /** See `RaftOptions.maxVoters`. */
@@ -35,6 +43,8 @@
   readonly generateIdentity: () => string;
   /** Called on every phase change. `problem` says why the replica is not running. */
   readonly onPhaseChange?: (phase: ReplicaPhase, problem: string | undefined) => void;
+  /** Called from time to time while this replica is in no replica set. */
+  readonly onFormationDelayed?: (problem: string) => void;
   /** Replaces classes of the {@link RaftNode}; for the simulator. */
   readonly parts?: RaftParts | undefined;
 }
@@ -52,8 +62,10 @@
   | 'failed'
   | 'stopped';
 
-/** Probes sent per election timeout while bootstrapping. */
-const PROBES_PER_TIMEOUT = 2;
+const NOT_ADDED_PROBLEM =
+  'this replica has no record that lets it form a set, and none has added it';
+/** Interval of the reports that no replica set has added this replica, in milliseconds. */
+const JOIN_REPORT_MS = 5_000;
 /** Delay before the data folder is reopened after a failed write. */
 const REOPEN_DELAY_MS = 1_000;
 
@@ -64,13 +76,17 @@
   private storage: LogStorage | undefined;
   private node: RaftNode | undefined;
   private bootstrap: ReplicaBootstrap | undefined;
+  /** Messages that arrive while a formed set is written to disk: the first election may have begun. */
+  private readonly deferred = new DeferredMessages();
   /** Snapshot of the state machine before any command, from which a log without a snapshot is replayed. */
   private emptyState: Uint8Array | undefined;
 
   private readonly folder: ReplicaFolder;
+  private readonly acceptorStore: AcceptorStore;
 
   constructor(private readonly options: ReplicaHostOptions) {
     this.folder = new ReplicaFolder(options.files);
+    this.acceptorStore = new AcceptorStore(this.folder, options);
   }
 
   get phase(): ReplicaPhase {
@@ -112,7 +128,7 @@
   receive(to: string, message: RaftMessage): void {
     if (to !== '' && to !== this.identity) return;
     if (this.node !== undefined) this.node.receive(message);
-    else this.bootstrap?.receive(message);
+    else if (!this.deferred.add(message)) this.bootstrap?.receive(message);
   }
 
   propose(data: Uint8Array, callback: ProposalCallback): void {
@@ -151,6 +167,7 @@
     if (this.currentPhase !== 'failed') return;
     this.bootstrap?.stop();
     this.bootstrap = undefined;
+    this.deferred.take();
     this.node?.stop();
     this.node = undefined;
     this.storage?.close();
@@ -168,7 +185,7 @@
   private create(): void {
     this.setPhase('creating', undefined);
     const identity = this.options.generateIdentity();
-    this.folder.create(identity, (error) => {
+    this.folder.create(identity, this.acceptorStore.initial(), (error) => {
       if (error === undefined) this.open(identity);
       else this.fail(error);
     });
@@ -189,33 +206,35 @@
 
   private bootstrapOrRun(self: Replica, storage: LogStorage, persisted: PersistedState): void {
     const hasLog = persisted.snapshot !== undefined || persisted.entries.length > 0;
-    const promised = this.folder.readPromise();
-    // After a promise the replica must continue to form that set, even if `join` has been set since.
-    if (hasLog || (this.options.join && promised === undefined)) {
-      this.run(self, storage, persisted);
+    const record = hasLog ? undefined : this.acceptorStore.read();
+    if (record === 'damaged') {
+      this.setPhase('damaged', "the acceptor's record is damaged");
       return;
     }
-    if (promised === 'damaged') {
-      this.setPhase('damaged', 'the promise file is damaged');
+    if (record === undefined) {
+      this.run(self, storage, persisted);
       return;
     }
     this.setPhase('bootstrapping', 'waiting for the other replicas');
-    const { clock, transport, contacts, electionTimeoutMs } = this.options;
+    const { clock, random, transport, contacts, electionTimeoutMs, maxVoters } = this.options;
     this.bootstrap = new ReplicaBootstrap({
       clock,
+      random,
       transport,
       self,
       contacts,
-      probeIntervalMs: electionTimeoutMs / PROBES_PER_TIMEOUT,
-      promised,
-      savePromise: (replicas, done) => this.savePromise(replicas, done),
+      electionTimeoutMs,
+      maxVoters,
+      record,
+      saveRecord: (next, done) => this.saveAcceptor(next, done),
       onDecided: (decision) => this.onDecided(decision, self, storage, persisted),
+      onDelayed: (problem) => this.options.onFormationDelayed?.(problem),
     });
     this.bootstrap.start();
   }
 
-  private savePromise(replicas: readonly Replica[], done: () => void): void {
-    this.folder.savePromise(replicas, (error) => {
+  private saveAcceptor(record: AcceptorRecord, done: () => void): void {
+    this.acceptorStore.save(record, (error) => {
       if (error === undefined) done();
       else this.fail(error);
     });
@@ -231,15 +250,22 @@
       this.run(self, storage, persisted);
       return;
     }
+    this.deferred.start();
+    const { replicas, isProposer } = decision;
     const data = this.options.stateMachine.takeSnapshot();
-    const snapshot: Snapshot = { index: 0, term: 0, replicas: decision.replicas, data };
+    const snapshot: Snapshot = { index: 0, term: 0, replicas, data };
     storage.saveSnapshot(snapshot, (error) => {
-      if (error === undefined) this.run(self, storage, { ...persisted, snapshot });
+      if (error === undefined) this.run(self, storage, { ...persisted, snapshot }, isProposer);
       else this.fail(error);
     });
   }
 
-  private run(self: Replica, storage: LogStorage, persisted: PersistedState): void {
+  private run(
+    self: Replica,
+    storage: LogStorage,
+    persisted: PersistedState,
+    startsElection = false,
+  ): void {
     if (this.currentPhase === 'stopped') return;
     const { clock, random, transport, stateMachine, contacts, electionTimeoutMs } = this.options;
     if (persisted.snapshot === undefined) stateMachine.restoreSnapshot(this.emptyState!);
@@ -261,6 +287,17 @@
       this.options.parts,
     );
     this.setPhase('running', undefined);
-    this.node.start();
+    this.node.start(startsElection);
+    for (const message of this.deferred.take()) this.node.receive(message);
+    if (persisted.snapshot === undefined) this.reportIfNotAdded(this.node);
+  }
+
+  /** Reports from time to time that no replica set has added this replica. */
+  private reportIfNotAdded(node: RaftNode): void {
+    this.options.clock.schedule(JOIN_REPORT_MS, () => {
+      if (this.node !== node || node.status().replicas.voters.length > 0) return;
+      this.options.onFormationDelayed?.(NOT_ADDED_PROBLEM);
+      this.reportIfNotAdded(node);
+    });
   }
 }
--- a/src/programs/control-replica.ts
+++ b/src/programs/control-replica.ts
@@ -36,11 +36,15 @@
         logger.error('The replica cannot participate in the cluster.', { phase, problem });
       } else logger.info('The replica changed its phase.', { phase });
     },
+    onFormationDelayed: (problem) => logger.warn('The replica set is not formed.', { problem }),
   });
 }
 
 /** Name, origin and role of a replica, and the peers with which it forms or joins the cluster. */
-type ReplicaTopology = Pick<ReplicaHostOptions, 'name' | 'origin' | 'role' | 'contacts' | 'join'>;
+type ReplicaTopology = Pick<
+  ReplicaHostOptions,
+  'name' | 'origin' | 'role' | 'contacts' | 'join' | 'seeds'
+>;
 
 function topologyOf(settings: ControlSettings): ReplicaTopology {
   const { id: name, replicas, seeds, advertise, bootstrap } = settings;
@@ -48,7 +52,7 @@
     const origin = advertise!;
     const contacts = seeds.filter((seed) => seed !== origin);
     const isBootstrapping = bootstrap && contacts.length < seeds.length;
-    return { name, origin, role: 'voter', contacts, join: !isBootstrapping };
+    return { name, origin, role: 'voter', contacts, join: !isBootstrapping, seeds };
   }
   const own = replicas!.find((replica) => replica.id === name)!;
   const contacts = replicas!.filter((replica) => replica.id !== name).map(({ origin }) => origin);
--- a/test/golden/replica-messages.test.ts
+++ b/test/golden/replica-messages.test.ts
@@ -41,6 +41,14 @@
 };
 const BASE = { from: SENDER, term: 5 };
 const REPLICAS = { voters: [SENDER], learners: [LEARNER] };
+const FORMATION = {
+  ...BASE,
+  term: 0,
+  ballot: { round: 3, proposer: 'id-1' },
+  acceptors: ['http://10.0.0.1:7000', 'http://10.0.0.2:7000', 'http://10.0.0.3:7000'],
+};
+const LOWER_BALLOT = { round: 2, proposer: 'id-2' };
+const HIGHER_BALLOT = { round: 3, proposer: 'id-2' };
 
 /** Every kind of message; a new one fails to compile until it is pinned here. */
 const MESSAGES: Record<RaftMessage['type'], readonly MessagePin[]> = {
@@ -129,7 +137,39 @@
   'join-request': [{ name: 'join request', message: { type: 'join-request', ...BASE } }],
   'elect-now': [{ name: 'elect now', message: { type: 'elect-now', ...BASE } }],
   'probe-request': [{ name: 'probe request', message: { type: 'probe-request', ...BASE } }],
+  'form-prepare': [{ name: 'form prepare', message: { type: 'form-prepare', ...FORMATION } }],
+  'form-promise': [
+    {
+      name: 'form promise, nothing accepted',
+      message: { type: 'form-promise', ...FORMATION, accepted: undefined },
+    },
+    {
+      name: 'form promise, a set accepted',
+      message: {
+        type: 'form-promise',
+        ...FORMATION,
+        accepted: { ballot: LOWER_BALLOT, replicas: REPLICAS },
+      },
+    },
+  ],
+  'form-accept': [
+    {
+      name: 'form accept',
+      message: { type: 'form-accept', ...FORMATION, replicas: REPLICAS },
+    },
+  ],
+  'form-accepted': [{ name: 'form accepted', message: { type: 'form-accepted', ...FORMATION } }],
+  'form-refusal': [
+    {
+      name: 'form refusal',
+      message: { type: 'form-refusal', ...FORMATION, promised: HIGHER_BALLOT },
+    },
+  ],
   'probe-response': [
+    {
+      name: 'probe response, joining',
+      message: { type: 'probe-response', ...BASE, found: { type: 'joining' } },
+    },
     {
       name: 'probe response, empty and unpromised',
       message: { type: 'probe-response', ...BASE, found: { type: 'empty', promised: undefined } },
--- a/test/storage/stored-bytes.test.ts
+++ b/test/storage/stored-bytes.test.ts
@@ -6,8 +6,11 @@
 import { expect } from 'chai';
 import { readFileSync } from 'node:fs';
 import { VirtualClock } from '../../src/common/virtual-clock.js';
+import { LOWEST_BALLOT } from '../../src/consensus/formation.js';
+import { ReplicaFolder } from '../../src/consensus/replica-folder.js';
 import { ResourceStore } from '../../src/control/resource-store.js';
 import { StoreMachine } from '../../src/control/store-machine.js';
+import type { Replica } from '../../src/storage/persisted-state.js';
 import { encodeRecord, scanRecords } from '../../src/storage/record-format.js';
 import { MemoryFiles } from '../support/memory-files.js';
 import { decodedText, showRecords, type ShownRecord } from '../support/stored-bytes.js';
@@ -25,6 +28,8 @@
   readonly filesAfterSnapshot: ShownFiles;
   /** Snapshot written by a version without declared sets. */
   readonly oldState: { readonly hex: string; readonly text: string };
+  /** Promise to form a replica set, written by a version in which all replicas had to promise the same. */
+  readonly oldPromise: ShownRecord;
 }
 
 const PINNED = JSON.parse(readFileSync('test/fixtures/stored-bytes.json', 'utf8')) as Pinned;
@@ -90,6 +95,22 @@
   });
 });
 
+describe('a promise of an earlier version to form a replica set', () => {
+  it('is read as the acceptance of that set', () => {
+    const { hex, text } = PINNED.oldPromise;
+    const files = new MemoryFiles();
+    files.files.set('promise', Buffer.from(hex, 'hex'));
+    expect(showRecords(files.read('promise')!)).to.deep.equal([{ hex, text }]);
+    const replicas = JSON.parse(text) as Replica[];
+    expect(new ReplicaFolder(files).readAcceptor('majority')).to.deep.equal({
+      acceptors: replicas.map(({ origin }) => origin),
+      quorum: 'majority',
+      promised: LOWEST_BALLOT,
+      accepted: { ballot: LOWEST_BALLOT, replicas: { voters: replicas, learners: [] } },
+    });
+  });
+});
+
 describe('a snapshot of a version without declared sets', () => {
   it('is taken over whole', () => {
     const { hex, text } = PINNED.oldState;
