A seed whose data folder vanishes while it runs is no acceptor any more

Cause: after a failed write the replica opens its folder again, and where the folder is gone it creates one, with a new acceptor's record, since its process was started with bootstrap: true. What it had promised was forgotten, and with one other seed it could have formed a second set. Found by reading the new formation; the old one needed all three seeds.

The record is created only before the process has opened a folder. The test fails without it: the seed bootstraps again.

--- a/src/consensus/replica-host.ts
+++ b/src/consensus/replica-host.ts
@@ -187,7 +187,9 @@
   private create(): void {
     this.setPhase('creating', undefined);
     const identity = this.options.generateIdentity();
-    this.folder.create(identity, this.acceptorStore.initial(), (error) => {
+    // A folder that vanished while the replica ran may have held promises.
+    const record = this.self === undefined ? this.acceptorStore.initial() : undefined;
+    this.folder.create(identity, record, (error) => {
       if (error === undefined) this.open(identity);
       else this.fail(error);
     });
