--- a/src/consensus/formation-peer.ts
+++ b/src/consensus/formation-peer.ts
@@ -40,9 +40,9 @@
 export class FormationPeer {
   private readonly acceptor: FormationAcceptor;
   /** This replica's own proposal, while it is under way. */
-  private proposal: Proposal | undefined;
+  protected proposal: Proposal | undefined;
   /** Highest round that another acceptor has reported. */
-  private highestRound = 0;
+  protected highestRound = 0;
   private mismatch: string | undefined;
   private isStopped = false;
 
