Formation: drawn first starts of five replicas under faults; an odd number of initial voters

Five replicas (three seeds) start within 0.3 s in virtual time, with the product's ReplicaHost on simulated disks and a network that loses, repeats and delays messages; one seed and perhaps another replica are killed (back with bootstrap true or false, or not at all), frozen, cut off or lose their disks at drawn moments. Checked: one set is formed; a leader has committed within 1.5 s of the start of the second sound seed; a leader is there at the end.

The proposed set has an odd number of voters: with four known replicas the fourth begins as a learner, since four voters bear one loss, as three do, but have one more replica that can be lost.

--- a/src/consensus/known-replicas.ts
+++ b/src/consensus/known-replicas.ts
@@ -59,7 +59,7 @@
 
   /**
    * Returns the set to propose. With a quorum of all, the acceptors are the configured replicas, each in its role.
-   * Otherwise acceptors become voters before others do, up to the maximum; the rest start as learners.
+   * Otherwise acceptors become voters before others do; the rest start as learners.
    */
   replicaSet({ acceptors, quorum }: AcceptorRecord): ReplicaSet {
     const isAcceptor = ({ origin }: Replica): boolean => acceptors.includes(origin);
@@ -67,7 +67,8 @@
     if (quorum === 'all') return replicaSetOf(sorted.filter(isAcceptor));
     const others = sorted.filter((replica) => !isAcceptor(replica));
     const ranked = [...sorted.filter(isAcceptor), ...others];
-    const voters = ranked.filter(({ role }) => role === 'voter').slice(0, this.options.maxVoters);
+    const candidates = ranked.filter(({ role }) => role === 'voter');
+    const voters = candidates.slice(0, initialVoters(candidates.length, this.options.maxVoters));
     return { voters, learners: ranked.filter((replica) => !voters.includes(replica)) };
   }
 
@@ -75,3 +76,9 @@
     return [this.options.self, ...this.byName.values()];
   }
 }
+
+/** Number of voters of a new set: odd, as a fourth voter lets it bear no more losses than three do. */
+function initialVoters(candidates: number, maxVoters = Infinity): number {
+  const count = Math.min(candidates, maxVoters);
+  return count > 2 && count % 2 === 0 ? count - 1 : count;
+}
--- /dev/null
+++ b/test/consensus/formation-schedules.test.ts
@@ -0,0 +1,24 @@
+/**
+ * First starts of five control replicas, three of them seeds, with faults at drawn moments: one seed and perhaps another
+ * replica are killed, frozen, cut off or lose their disks. FORMATION_SEEDS sets the number of seeds.
+ */
+import { expect } from 'chai';
+import { FormationWorld } from '../../lab/simulator/formation/formation-world.js';
+
+const SEEDS = Number(process.env['FORMATION_SEEDS'] ?? 500);
+/** Time from the start of the second sound seed until control accepts changes. */
+const MAX_COMMIT_MS = 1_500;
+
+describe('the first start of control under faults', function () {
+  this.timeout(24 * 3_600_000);
+
+  it(`forms one set, within ${MAX_COMMIT_MS} ms, with ${SEEDS} seeds`, () => {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const { sets, committedAfterMs, hasLeaderAtEnd, faults } = new FormationWorld(seed).execute();
+      const text = `seed ${seed}: ${faults.join('; ')}`;
+      expect(sets, text).to.have.length(1);
+      expect(committedAfterMs, text).to.be.at.most(MAX_COMMIT_MS);
+      expect(hasLeaderAtEnd, text).to.equal(true);
+    }
+  });
+});
