A status outside 100 to 599 is no answer

Callers saw: the statuses 600 to 999 of a target in trouble as its answers, with its body, through sidecars, edges and nodes alike.

Cause: the parser accepts any three digits as a status, and the relay passed on whatever was 200 or more. Statuses below 100 ended as 502 only because undici fails an assertion on them.

Change: RelayHandler, which carries each answer of a target and of a node, fails the attempt on such a status like on bytes that are no answer: 502, verdict `may-have-run`, the connection is closed. It asks isStatusCode(), the only place that decides.

--- a/src/common/http-status.ts
+++ b/src/common/http-status.ts
@@ -25,3 +25,11 @@
   GatewayTimeout: 504,
   InsufficientStorage: 507,
 } as const;
+
+const LOWEST_STATUS = 100;
+const HIGHEST_STATUS = 599;
+
+/** Whether a number is a status code (RFC 9110, section 15). Parsers accept any three digits. */
+export function isStatusCode(status: number): boolean {
+  return status >= LOWEST_STATUS && status <= HIGHEST_STATUS;
+}
--- a/src/http/relay-handler.ts
+++ b/src/http/relay-handler.ts
@@ -7,6 +7,7 @@
 import type { AnswerSink } from './answer-sink.js';
 import type { AnswerHead, Attempt, AttemptListener } from '../call/transport.js';
 import { filterEndToEndHeaders, type RawHeaders } from './header-filter.js';
+import { isStatusCode } from '../common/http-status.js';
 
 /** The parts of relaying that differ between transports. */
 export interface RelayPolicy {
@@ -32,6 +33,8 @@
 
 /** Undici passes it to {@link RelayHandler.onResponseError}, which ignores the error. */
 const ABORT_REASON = new Error('shoredoor: the attempt was cancelled');
+/** Fails the attempt like any other bytes that are no answer. */
+const INVALID_STATUS = new Error('shoredoor: the answer has no valid status');
 const NO_EXCLUDED_HEADERS: ReadonlySet<string> = new Set();
 
 export class RelayHandler implements Dispatcher.DispatchHandler, Attempt {
@@ -71,6 +74,10 @@
     statusCode: number,
     headers: IncomingHttpHeaders,
   ): void {
+    if (!isStatusCode(statusCode)) {
+      controller.abort(INVALID_STATUS);
+      return;
+    }
     if (statusCode < 200) return;
     this.policy.onResponse?.(statusCode, headers);
     if (this.isFinished) return;
