Node: an answer without a length that is reset is not complete

Callers saw: a 200 with a short body, framed as whole, where a target behind a node answered without a length and its connection was reset.

Cause: undici takes an answer without a length as complete when its connection ends, even by a reset. Sidecars detect that since they relay such answers; the pool of a node to its target had no detector.

Change: TargetPool opens its connections through ConnectionResetDetector, and the relay of a node asks it when an answer ends (RelayPolicy.isCutOff).

Evidence: test/programs/broken-answers.test.ts, eleven bodies that lack a part and three without a length that are reset, ended in four ways, for requests without a body, with a length and in chunks.

--- a/src/http/target-pool.ts
+++ b/src/http/target-pool.ts
@@ -3,16 +3,18 @@
  * a pool of their own in `src/membership`, which distinguishes incarnations of a target.
  */
 import type { Dispatcher, Pool } from 'undici';
-import { createPool } from './connection-pools.js';
+import { CONNECT_TIMEOUT_MS, createPool } from './connection-pools.js';
+import { ConnectionResetDetector } from './connection-reset-detector.js';
 
 export class TargetPool {
   private pool: Pool;
+  private readonly resets = new ConnectionResetDetector(CONNECT_TIMEOUT_MS);
 
   constructor(
     private readonly origin: string,
     private connections: number,
   ) {
-    this.pool = createPool(origin, { connections });
+    this.pool = this.open();
   }
 
   /** Dispatcher for the next call. */
@@ -20,12 +22,17 @@
     return this.pool;
   }
 
+  /** Whether a response that ends now was truncated by a connection reset. */
+  get isResetting(): boolean {
+    return this.resets.isResetting;
+  }
+
   /** Changes the maximum number of connections. Calls in flight finish on the old pool. */
   configure(connections: number): void {
     if (connections === this.connections) return;
     const replaced = this.pool;
     this.connections = connections;
-    this.pool = createPool(this.origin, { connections });
+    this.pool = this.open();
     void replaced.close();
   }
 
@@ -33,4 +40,9 @@
   async destroy(): Promise<void> {
     await this.pool.destroy();
   }
+
+  private open(): Pool {
+    const { origin, connections, resets } = this;
+    return createPool(origin, { connections, connector: resets.connector });
+  }
 }
--- a/src/http/target-transport.ts
+++ b/src/http/target-transport.ts
@@ -27,6 +27,8 @@
    * @param sentAt when the request was sent, in monotonic milliseconds
    */
   readonly onAnnouncement: (sentAt: number, announcement: TargetAnnouncement) => void;
+  /** Whether an answer that ends now was cut off by a connection reset. Default: never. */
+  readonly isCutOff?: () => boolean;
   /** Returns the outcome to send with the answer. Called at most once. */
   readonly takeOutcome: () => Outcome;
 }
@@ -39,7 +41,8 @@
   ) {}
 
   send(listener: AttemptListener): Attempt {
-    const { context, spanId, message, body, response, takeOutcome, onAnnouncement } = this.request;
+    const { context, spanId, message, body, response } = this.request;
+    const { takeOutcome, onAnnouncement, isCutOff = (): boolean => false } = this.request;
     const sentAt = this.clock.now();
     const headers = filterRequestHeaders(message);
     const remainingMs = Math.max(0, Math.floor(context.deadlineAt - this.clock.now()));
@@ -55,6 +58,7 @@
         onResponse: (_status, answerHeaders) =>
           onAnnouncement(sentAt, readAnnouncement(DEFAULT_TARGET_HEADERS, answerHeaders)),
         readHead: (status) => ({ status, outcome: undefined }),
+        isCutOff,
         extraHeaders: () => [OUTCOME_HEADER, formatOutcome(takeOutcome())],
       },
       listener,
--- a/src/node/node-inbound-server.ts
+++ b/src/node/node-inbound-server.ts
@@ -140,6 +140,7 @@
         body,
         response: this.response,
         onAnnouncement,
+        isCutOff: () => targetPool.isResetting,
         takeOutcome: (): Outcome => call.takeOutcome('ran', undefined),
       },
     );
--- a/test/programs/broken-answers.test.ts
+++ b/test/programs/broken-answers.test.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai';
 import {
+  CUT_BODIES,
   CUT_HEADS,
   ENDS,
   INVALID_BEFORE_SOUND,
   INVALID_STATUSES,
   scriptOf,
+  UNFRAMED_BODIES,
 } from '../support/broken-answers.js';
 import { DEADLINE_MS, FRONTS, type Front } from '../support/fronts-of-target.js';
 import { Cleanup, until } from '../support/processes.js';
@@ -96,6 +98,20 @@
           }
           expect(passed).to.deep.equal([]);
         });
+
+        if (sent.method === 'HEAD' || sent.version === '1.0') continue;
+
+        it(`never looks whole where its body stops and the target ${endName}, for ${request}`, async () => {
+          const isReset = endName.startsWith('resets');
+          const passed: string[] = [];
+          const bodies = { ...CUT_BODIES, ...(isReset && UNFRAMED_BODIES) };
+          for (const [what, text] of Object.entries(bodies)) {
+            const played = await play(scriptOf(text, end), sent);
+            const isCut = played.status === 200 && !played.looksWhole;
+            if (!isCut && !failsWith502(played)) passed.push(`${what}: ${describeAnswer(played)}`);
+          }
+          expect(passed).to.deep.equal([]);
+        });
       }
     }
   });
--- a/test/support/broken-answers.ts
+++ b/test/support/broken-answers.ts
@@ -1,4 +1,4 @@
-/** Scripts of targets whose answers have no valid status or that stop in the head. */
+/** Scripts of targets whose answers have no valid status, stop in the head or lack a part of their body. */
 import type { Socket } from 'node:net';
 import type { ArrivedRequest, Script } from './scripted-target.js';
 
@@ -81,6 +81,34 @@
   'in the empty line of version 1.0': headLines('Content-Length: 5\r\n\r', '1.0'),
 };
 
+/** Bodies that lack a part, by what is missing. */
+export const CUT_BODIES: Readonly<Record<string, Text>> = {
+  'all of its length': headLines('Content-Length: 5\r\n\r\n'),
+  'a part of its length': headLines('Content-Length: 5\r\n\r\nwho'),
+  'a part of its length, with Connection: close': headLines(
+    'Connection: close\r\nContent-Length: 5\r\n\r\nwho',
+  ),
+  'a part of its length, in version 1.0': headLines('Content-Length: 5\r\n\r\nwho', '1.0'),
+  'all chunks': headLines('Transfer-Encoding: chunked\r\n\r\n'),
+  'a part of a chunk': headLines('Transfer-Encoding: chunked\r\n\r\n5\r\nwho'),
+  'the end of a chunk': headLines('Transfer-Encoding: chunked\r\n\r\n5\r\nwhole'),
+  'its last chunk': headLines('Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n'),
+  'its last chunk, with Connection: close': headLines(
+    'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n',
+  ),
+  'the end of its last chunk': headLines('Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n'),
+  'the end of its last chunk, with Connection: close': headLines(
+    'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n',
+  ),
+};
+
+/** Bodies without a length: one whose connection is reset is not whole (RFC 9112, section 8). */
+export const UNFRAMED_BODIES: Readonly<Record<string, Text>> = {
+  'a body without a length': headLines('\r\nwho'),
+  'a body without a length, with Connection: close': headLines('Connection: close\r\n\r\nwho'),
+  'a body without a length, in version 1.0': headLines('\r\nwho', '1.0'),
+};
+
 /** Joins a text and an end of the connection to a script. */
 export function scriptOf(text: Text, end: (socket: Socket, text: string) => void): Script {
   return (socket, request) => end(socket, text(request));
