A cut answer reaches its client as far as it came

Cause: Node.js corks the socket of a response until the end of the turn.

Change: abortResponse() uncorks the socket before it closes the connection.

--- a/src/http/caller-response.ts
+++ b/src/http/caller-response.ts
@@ -44,6 +44,8 @@
  * end of the connection is also the end of an answer (RFC 9112, section 6.3), and only a reset tells the two apart.
  */
 export function abortResponse(response: ServerResponse): void {
+  // Node.js corks the socket until the end of the turn; destroying it would discard what was written in this turn.
+  response.socket?.uncork();
   if (response.req.httpVersionMajor === 1 && response.req.httpVersionMinor === 0) {
     response.socket?.resetAndDestroy();
   }
