--- a/src/http/target-transport.ts
+++ b/src/http/target-transport.ts
@@ -10,6 +10,7 @@
 import { formatTraceParent } from '../call/trace-parent.js';
 import type { Attempt, AttemptListener, TargetTransport } from '../call/transport.js';
 import { RelayHandler } from './relay-handler.js';
+import { ResponseSink } from './response-sink.js';
 import { filterRequestHeaders, forwardRequest } from './forward-request.js';
 import type { RequestBody } from './request-body.js';
 import { readAnnouncement, type TargetAnnouncement } from './target-announcement.js';
@@ -27,6 +28,8 @@
    * @param sentAt when the request was sent, in monotonic milliseconds
    */
   readonly onAnnouncement: (sentAt: number, announcement: TargetAnnouncement) => void;
+  /** Whether an answer that ends now was cut off by a connection reset. Default: never. */
+  readonly isCutOff?: () => boolean;
   /** Returns the outcome to send with the answer. Called at most once. */
   readonly takeOutcome: () => Outcome;
 }
@@ -39,7 +42,8 @@
   ) {}
 
   send(listener: AttemptListener): Attempt {
-    const { context, spanId, message, body, response, takeOutcome, onAnnouncement } = this.request;
+    const { context, spanId, message, body, response } = this.request;
+    const { takeOutcome, onAnnouncement, isCutOff = (): boolean => false } = this.request;
     const sentAt = this.clock.now();
     const headers = filterRequestHeaders(message);
     const remainingMs = Math.max(0, Math.floor(context.deadlineAt - this.clock.now()));
@@ -50,11 +54,12 @@
       String(remainingMs),
     );
     const handler = new RelayHandler(
-      response,
+      new ResponseSink(response),
       {
         onResponse: (_status, answerHeaders) =>
           onAnnouncement(sentAt, readAnnouncement(DEFAULT_TARGET_HEADERS, answerHeaders)),
         readHead: (status) => ({ status, outcome: undefined }),
+        isCutOff,
         extraHeaders: () => [OUTCOME_HEADER, formatOutcome(takeOutcome())],
       },
       listener,
