First log line of a process, before anything can fail

A process that ended during its start left no line that says what it was: which engine, architecture, flags, settings file and limits. The entry points now write this line before they load anything else, with one system call, in the format of the logger. What can't be read is left out; a line that can't be written goes to standard error or nowhere.

The command line moves from main.ts to command-line.ts, so that main.ts can act before its modules are loaded.

--- a/src/cli/launch.ts
+++ b/src/cli/launch.ts
@@ -9,11 +9,12 @@
 import { createRequire, Module } from 'node:module';
 import { dirname, resolve } from 'node:path';
 import { Script } from 'node:vm';
+import { ProcessLifecycle } from './process-lifecycle.js';
 
 /** The exports of a bundle. */
 interface Bundle {
   /** Runs the program named by the arguments. */
-  run(args: readonly string[]): Promise<void>;
+  run(args: readonly string[], lifecycle: ProcessLifecycle): Promise<void>;
   /** Loads the modules of all programs without running them. */
   loadAll(): Promise<void>;
 }
@@ -53,11 +54,18 @@
 
 async function main(args: readonly string[]): Promise<void> {
   const [first = '', ...rest] = args;
-  if (first !== WRITE_CACHE) {
-    await loadBundle(resolve(first)).bundle.run(rest);
-    return;
-  }
-  const file = resolve(rest[0] ?? '');
+  if (first === WRITE_CACHE) await writeCache(resolve(rest[0] ?? ''));
+  else await runBundle(resolve(first), rest);
+}
+
+async function runBundle(file: string, args: readonly string[]): Promise<void> {
+  // Comes first: until then, signals end the process, and loading a bundle takes a while.
+  const [program, settingsFile] = args;
+  const lifecycle = ProcessLifecycle.begin({ program, settingsFile });
+  await loadBundle(file).bundle.run(args, lifecycle);
+}
+
+async function writeCache(file: string): Promise<void> {
   const { script, bundle } = loadBundle(file);
   await bundle.loadAll();
   writeFileSync(cacheOf(file), script.createCachedData());
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,52 +1,30 @@
 #!/usr/bin/env node
 /**
- * The `shoredoor` command line: runs the matched command and reports its error as a message and an exit code. Long-running
- * programs exit by themselves (run-program.ts).
+ * Entry point of the `shoredoor` command. The modules of the command line are imported afterwards: until then, signals would
+ * end a program that is being loaded.
  */
-import { cac } from 'cac';
-import { RequestError, UsageError, ValidationError } from '../common/errors.js';
-import { EXIT_CODES, type ExitCode } from './exit-codes.js';
-import { registerOperatorCommands } from './operator-commands.js';
-import { registerProgramCommands } from './program-commands.js';
-import { VERSION } from './version.js';
+import { parseArgs } from 'node:util';
+import { ProcessLifecycle } from './process-lifecycle.js';
 
-/** Writes an error to standard error. @returns the exit code for it */
-function reportError(error: unknown): ExitCode {
-  if (error instanceof ValidationError) {
-    process.stderr.write(`shoredoor: ${error.message}\n`);
-    for (const fault of error.faults) {
-      process.stderr.write(
-        `  ${fault.path === '' ? '(document)' : fault.path}: ${fault.message}\n`,
-      );
-    }
-    return EXIT_CODES.usage;
-  }
-  const message = error instanceof Error ? error.message : String(error);
-  process.stderr.write(`shoredoor: ${message}\n`);
-  if (error instanceof UsageError || (error as Error).name === 'CACError') return EXIT_CODES.usage;
-  if (error instanceof RequestError && error.status === 0) return EXIT_CODES.unreachable;
-  return EXIT_CODES.failed;
-}
+const PROGRAMS: readonly (string | undefined)[] = ['node', 'edge', 'sidecar', 'control'];
+const HELP_FLAGS: readonly string[] = ['--help', '-h', '--version', '-v'];
 
-async function main(): Promise<void> {
-  const cli = cac('shoredoor');
-  registerProgramCommands(cli);
-  registerOperatorCommands(cli);
-  cli.help();
-  cli.version(VERSION);
-  try {
-    cli.parse(process.argv, { run: false });
-    if (cli.matchedCommand === undefined) {
-      if (cli.options.help === true || cli.options.version === true) return;
-      const unknown = cli.args[0];
-      throw new UsageError(
-        unknown === undefined ? 'a command is needed; see --help' : `unknown command '${unknown}'`,
-      );
-    }
-    await cli.runMatchedCommand();
-  } catch (error) {
-    process.exitCode = reportError(error);
-  }
+/** Begins the life of the process if the arguments run a program. */
+function beginLifecycle(args: readonly string[]): ProcessLifecycle | undefined {
+  const [program] = args;
+  if (!PROGRAMS.includes(program) || args.some((arg) => HELP_FLAGS.includes(arg))) return undefined;
+  const { values } = parseArgs({
+    args: [...args],
+    options: { config: { type: 'string' } },
+    strict: false,
+  });
+  const { config } = values;
+  return ProcessLifecycle.begin({
+    program,
+    settingsFile: typeof config === 'string' ? config : undefined,
+  });
 }
 
-await main();
+const lifecycle = beginLifecycle(process.argv.slice(2));
+const { runCommandLine } = await import('./command-line.js');
+await runCommandLine(process.argv, lifecycle);
--- /dev/null
+++ b/src/cli/process-log.ts
@@ -0,0 +1,68 @@
+/**
+ * Log lines about the process itself, in the format of the logger (common/logger.ts), which needs settings and a library that
+ * aren't there at the first line, and whose stream may hold back the last one. Lines are written at once, with one system
+ * call. A line that can't be written to standard output goes to standard error, and is dropped if that fails too: writing
+ * neither throws nor waits for a reader.
+ */
+import { writeSync } from 'node:fs';
+import { hostname } from 'node:os';
+import type { LogFields } from '../common/logger.js';
+
+/** Bunyan's levels. */
+const INFO_LEVEL = 30;
+const ERROR_LEVEL = 50;
+/** Bounds texts so that a line fits into one atomic write to a pipe (PIPE_BUF, 4,096 bytes). */
+const MAX_TEXT_LENGTH = 1_500;
+
+const OUTPUTS = [
+  { fd: 1, stream: () => process.stdout },
+  { fd: 2, stream: () => process.stderr },
+];
+
+class ProcessLog {
+  /** The `id` in the settings, once they are known; added to each record. */
+  processId: string | undefined;
+
+  info(message: string, fields: LogFields): void {
+    this.write(INFO_LEVEL, message, fields);
+  }
+
+  error(message: string, fields: LogFields): void {
+    this.write(ERROR_LEVEL, message, fields);
+  }
+
+  private write(level: number, message: string, fields: LogFields): void {
+    for (const { fd, stream } of OUTPUTS) {
+      try {
+        // Opening the stream makes a pipe non-blocking: a write to one that is full fails instead of waiting.
+        stream();
+        writeSync(fd, this.format(level, message, fields));
+        return;
+      } catch {
+        // Not logged: this is the log. The next output is tried.
+      }
+    }
+  }
+
+  private format(level: number, message: string, fields: LogFields): string {
+    const record = {
+      name: 'shoredoor',
+      hostname: hostname(),
+      pid: process.pid,
+      processId: this.processId,
+      level,
+      ...fields,
+      msg: `process: ${message}`,
+      time: new Date().toISOString(),
+      v: 0,
+    };
+    return `${JSON.stringify(record, truncateText)}\n`;
+  }
+}
+
+function truncateText(_name: string, value: unknown): unknown {
+  return typeof value === 'string' ? value.slice(0, MAX_TEXT_LENGTH) : value;
+}
+
+/** The log of this process. */
+export const processLog = new ProcessLog();
--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -1,6 +1,6 @@
 /**
- * Runs a long-running program: loads its settings, starts it, prints its origins and handles signals. SIGTERM and SIGINT stop
- * it gracefully, SIGHUP reloads its settings.
+ * Runs a long-running program: loads its settings, starts it, prints its origins and hands it to the life of the process,
+ * which stops it and reloads its settings on signals.
  */
 import type { z } from 'zod';
 import { createLogger, type LogLevel, type Logger } from '../common/logger.js';
@@ -8,6 +8,7 @@
 import { loadSettings } from '../settings/load-settings.js';
 import { prepareHashing } from '../common/rendezvous-hash.js';
 import { EXIT_CODES } from './exit-codes.js';
+import { ProcessLifecycle } from './process-lifecycle.js';
 
 /** Options of the commands that run a program. */
 export interface ProgramOptions {
@@ -33,58 +34,51 @@
   }
 }
 
-/** Loads the settings, starts the program, prints its origins and installs the signal handlers. */
+/** Loads the settings, starts the program and prints its origins. */
 export async function runProgram<Settings extends CommonSettings>(
   name: string,
   schema: z.ZodType<Settings>,
   options: ProgramOptions,
   start: (settings: Settings, logger: Logger) => Promise<Program<Settings>>,
+  lifecycle = ProcessLifecycle.begin({ program: name, settingsFile: options.config }),
 ): Promise<void> {
   const overrides = typeof options.set === 'string' ? [options.set] : (options.set ?? []);
   const load = (): Settings => loadSettings(schema, options.config, overrides);
   const settings = load();
   const logger = createLogger(name, settings.id, settings.logLevel);
+  lifecycle.onIdentified(settings.id);
   await prepareHashing();
   const program = await startOrExit(() => start(settings, logger), logger);
-  stopOnSignal(program, logger);
-  reloadOnSignal(program, load, logger);
-  // Reports the bound ports to supervisors. Must come after the handlers are installed: a signal sent on this line would
-  // kill the process otherwise.
+  lifecycle.onStarted({
+    stop: () => stopProgram(program, logger),
+    reload: () => reloadProgram(program, load, logger),
+  });
+  // Reports the bound ports to supervisors. Must come after the signals are passed to the program: a stop requested on this
+  // line would not be graceful otherwise.
   process.stdout.write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
 }
 
-/** Stops the program at the first signal; later signals are ignored. */
-function stopOnSignal(program: Pick<Program, 'stop'>, logger: Logger): void {
-  let stopping = false;
-  const stop = (): void => {
-    if (stopping) return;
-    stopping = true;
-    program.stop().then(
-      () => process.exit(EXIT_CODES.ok),
-      (error: unknown) => {
-        logger.error('The stop failed.', { error: String(error) });
-        process.exit(EXIT_CODES.failed);
-      },
-    );
-  };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+async function stopProgram(program: Pick<Program, 'stop'>, logger: Logger): Promise<void> {
+  try {
+    await program.stop();
+  } catch (error) {
+    logger.error('The stop failed.', { error: String(error) });
+    throw error;
+  }
 }
 
-/** Reloads the settings on SIGHUP. If they cannot be read or are invalid, the program keeps its current ones. */
-function reloadOnSignal<Settings>(
+/** Reloads the settings. If they cannot be read or are invalid, the program keeps its current ones. */
+function reloadProgram<Settings>(
   program: Program<Settings>,
   load: () => Settings,
   logger: Logger,
 ): void {
-  process.on('SIGHUP', () => {
-    try {
-      program.reload?.(load());
-      logger.info('Re-read the settings.');
-    } catch (error) {
-      logger.error('Could not reload the settings; keeping the current ones.', {
-        error: String(error),
-      });
-    }
-  });
+  try {
+    program.reload?.(load());
+    logger.info('Re-read the settings.');
+  } catch (error) {
+    logger.error('Could not reload the settings; keeping the current ones.', {
+      error: String(error),
+    });
+  }
 }
