--- a/test/cli/process-start-line.test.ts
+++ b/test/cli/process-start-line.test.ts
@@ -16,9 +16,10 @@
   before(async () => {
     bundle = await bundlePrograms();
   });
+  afterEach(() => ProductProcess.killRemaining());
 
   it('says what it runs, on what, and within which limits', async () => {
-    const file = new SettingsFile(undefined, sidecarDocument(UNREACHABLE));
+    const file = new SettingsFile(sidecarDocument(UNREACHABLE));
     const child = ProductProcess.start([
       HEAP_FLAG,
       bundle.launcher,
--- a/test/cli/run-program.test.ts
+++ b/test/cli/run-program.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'chai';
 import { z } from 'zod';
 import { runProgram } from '../../src/cli/run-program.js';
+import { watchProcessListeners } from '../support/process-listeners.js';
 
 const SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
 const settingsSchema = z.object({
@@ -14,7 +15,8 @@
 
 describe('a program that says which addresses it has', () => {
   it('can be stopped in order from then on', async () => {
-    const before = new Map(SIGNALS.map((signal) => [signal, process.listeners(signal)]));
+    const before = SIGNALS.map((signal) => process.listenerCount(signal));
+    const removeListeners = watchProcessListeners();
     const write = process.stdout.write.bind(process.stdout);
     const handlersAtAnnouncement: number[] = [];
     process.stdout.write = (text: string | Uint8Array): boolean => {
@@ -28,13 +30,9 @@
       );
     } finally {
       process.stdout.write = write;
-      for (const signal of SIGNALS) {
-        for (const listener of process.listeners(signal)) {
-          if (!before.get(signal)!.includes(listener)) process.off(signal, listener);
-        }
-      }
+      removeListeners();
     }
-    const expected = SIGNALS.map((signal) => before.get(signal)!.length + 1);
+    const expected = before.map((count) => count + 1);
     expect(handlersAtAnnouncement).to.deep.equal(expected);
   });
 });
--- a/test/support/product-process.ts
+++ b/test/support/product-process.ts
@@ -20,6 +20,7 @@
 }
 
 export class ProductProcess {
+  private static readonly running = new Set<ProductProcess>();
   readonly records: LogRecord[] = [];
   /** Resolves when the process has ended and its output has been read. */
   readonly ended: Promise<ProcessEnd>;
@@ -35,7 +36,19 @@
     this.ended = new Promise((resolve) =>
       child.on('close', (code, signal) => resolve({ code, signal })),
     );
-    void this.ended.then(() => this.wake());
+    ProductProcess.running.add(this);
+    void this.ended.then(() => {
+      ProductProcess.running.delete(this);
+      this.wake();
+    });
+  }
+
+  /** Kills the processes that a failed test has left. */
+  static async killRemaining(): Promise<void> {
+    for (const process of [...ProductProcess.running]) {
+      process.kill('SIGKILL');
+      await process.ended;
+    }
   }
 
   /** Starts `node ...args`. */
@@ -91,16 +104,14 @@
 /** A settings file that is replaced as a whole, so that no process reads a part of it. */
 export class SettingsFile {
   readonly path: string;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'shoredoor-settings-'));
 
-  constructor(
-    private readonly folder = mkdtempSync(join(tmpdir(), 'shoredoor-settings-')),
-    settings?: unknown,
-  ) {
-    this.path = join(folder, 'settings.yaml');
-    if (settings !== undefined) this.write(settings);
+  constructor(settings: object) {
+    this.path = join(this.folder, 'settings.yaml');
+    this.write(settings);
   }
 
-  write(settings: unknown): void {
+  write(settings: object): void {
     const next = join(this.folder, 'settings.next');
     writeFileSync(next, stringify(settings));
     renameSync(next, this.path);
