Ends of a process: one last line with the reason, and an end in order after uncaught errors

Seen by operators: a process that had ended left no line that said why. A failed start had its error on standard error; an exception in a callback ended the process at once, with a stack on standard error, no line in the log and status 1, as a failed start has; calls in flight were cut.

Now the last line of every program, 'process: Ended.', names the reason, the phase, the signal or error, and the code. It is written with one system call, to standard error if standard output is closed, full or half way through a line, and dropped if that fails too. After an uncaught exception or an unhandled rejection the program takes no new calls, has 2 s for those in flight (6 s in all), and ends with the new code 6; a second one ends it at once, and so does one during the start. A program's stop takes limits for this, instead of those of its settings, which may drain for many seconds.

Before the program starts, the event loop turns once: a signal that came while modules were loaded is handled before servers listen, not after a planned stop of servers that have just opened.

test/cli/command-line.test.ts lists the new code.

--- a/src/cli/command-line.ts
+++ b/src/cli/command-line.ts
@@ -49,6 +49,7 @@
     }
     await cli.runMatchedCommand();
   } catch (error) {
+    lifecycle?.onFailedStart(error);
     process.exitCode = reportError(error);
   }
 }
--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -11,6 +11,8 @@
   unreachable: 4,
   /** `diff` found differences. */
   different: 5,
+  /** An error in a program that nothing has caught: an exception in a callback, or a rejected promise. */
+  fault: 6,
 } as const;
 
 export type ExitCode = (typeof EXIT_CODES)[keyof typeof EXIT_CODES];
--- a/src/cli/launch.ts
+++ b/src/cli/launch.ts
@@ -9,6 +9,7 @@
 import { createRequire, Module } from 'node:module';
 import { dirname, resolve } from 'node:path';
 import { Script } from 'node:vm';
+import { EXIT_CODES } from './exit-codes.js';
 import { ProcessLifecycle } from './process-lifecycle.js';
 
 /** The exports of a bundle. */
@@ -62,7 +63,12 @@
   // Comes first: until then, signals end the process, and loading a bundle takes a while.
   const [program, settingsFile] = args;
   const lifecycle = ProcessLifecycle.begin({ program, settingsFile });
-  await loadBundle(file).bundle.run(args, lifecycle);
+  try {
+    await loadBundle(file).bundle.run(args, lifecycle);
+  } catch (error) {
+    writeError(error);
+    process.exit(lifecycle.onFailedStart(error));
+  }
 }
 
 async function writeCache(file: string): Promise<void> {
@@ -71,7 +77,11 @@
   writeFileSync(cacheOf(file), script.createCachedData());
 }
 
-void main(process.argv.slice(2)).catch((error: unknown) => {
+function writeError(error: unknown): void {
   process.stderr.write(`shoredoor: ${error instanceof Error ? error.stack : String(error)}\n`);
-  process.exit(1);
+}
+
+void main(process.argv.slice(2)).catch((error: unknown) => {
+  writeError(error);
+  process.exit(EXIT_CODES.failed);
 });
--- a/src/cli/process-log.ts
+++ b/src/cli/process-log.ts
@@ -1,8 +1,8 @@
 /**
  * Log lines about the process itself, in the format of the logger (common/logger.ts), which needs settings and a library that
  * aren't there at the first line, and whose stream may hold back the last one. Lines are written at once, with one system
- * call. A line that can't be written to standard output goes to standard error, and is dropped if that fails too: writing
- * neither throws nor waits for a reader.
+ * call. A line that can't be written to standard output, or would end up within one that is half written, goes to standard error,
+ * and is dropped if that fails too: writing neither throws nor waits for a reader.
  */
 import { writeSync } from 'node:fs';
 import { hostname } from 'node:os';
@@ -35,7 +35,7 @@
     for (const { fd, stream } of OUTPUTS) {
       try {
         // Opening the stream makes a pipe non-blocking: a write to one that is full fails instead of waiting.
-        stream();
+        if (stream().writableLength > 0) continue;
         writeSync(fd, this.format(level, message, fields));
         return;
       } catch {
--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -2,12 +2,13 @@
  * Runs a long-running program: loads its settings, starts it, prints its origins and hands it to the life of the process,
  * which stops it and reloads its settings on signals.
  */
+import { setImmediate } from 'node:timers/promises';
 import type { z } from 'zod';
+import type { StopSettings } from '../call/stop-phase.js';
 import { createLogger, type LogLevel, type Logger } from '../common/logger.js';
 import type { Program } from '../programs/program.js';
 import { loadSettings } from '../settings/load-settings.js';
 import { prepareHashing } from '../common/rendezvous-hash.js';
-import { EXIT_CODES } from './exit-codes.js';
 import { ProcessLifecycle } from './process-lifecycle.js';
 
 /** Options of the commands that run a program. */
@@ -24,13 +25,14 @@
 /** Starts a program. Exits if the start fails: servers that already listen would keep the process alive otherwise. */
 async function startOrExit<Settings>(
   start: () => Promise<Program<Settings>>,
+  lifecycle: ProcessLifecycle,
   logger: Logger,
 ): Promise<Program<Settings>> {
   try {
     return await start();
   } catch (error) {
     logger.error('The start failed.', { error: String(error) });
-    process.exit(EXIT_CODES.failed);
+    process.exit(lifecycle.onFailedStart(error));
   }
 }
 
@@ -46,11 +48,13 @@
   const load = (): Settings => loadSettings(schema, options.config, overrides);
   const settings = load();
   const logger = createLogger(name, settings.id, settings.logLevel);
-  lifecycle.onIdentified(settings.id);
+  lifecycle.onSettings(settings.id);
   await prepareHashing();
-  const program = await startOrExit(() => start(settings, logger), logger);
+  // Lets the event loop turn: a signal that has come while modules were loaded is handled before servers listen.
+  await setImmediate();
+  const program = await startOrExit(() => start(settings, logger), lifecycle, logger);
   lifecycle.onStarted({
-    stop: () => stopProgram(program, logger),
+    stop: (limits) => stopProgram(program, limits, logger),
     reload: () => reloadProgram(program, load, logger),
   });
   // Reports the bound ports to supervisors. Must come after the signals are passed to the program: a stop requested on this
@@ -58,9 +62,13 @@
   process.stdout.write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
 }
 
-async function stopProgram(program: Pick<Program, 'stop'>, logger: Logger): Promise<void> {
+async function stopProgram(
+  program: Pick<Program, 'stop'>,
+  limits: StopSettings | undefined,
+  logger: Logger,
+): Promise<void> {
   try {
-    await program.stop();
+    await program.stop(limits);
   } catch (error) {
     logger.error('The stop failed.', { error: String(error) });
     throw error;
--- a/src/programs/edge-program.ts
+++ b/src/programs/edge-program.ts
@@ -5,7 +5,7 @@
 import { CallStats } from '../call/call-stats.js';
 import { EdgeServer } from '../edge/edge-server.js';
 import { OutboundRouter } from '../outbound/outbound-router.js';
-import { StopPhase, StopProgress, stopTimes } from '../call/stop-phase.js';
+import { StopPhase, StopProgress, stopTimes, type StopSettings } from '../call/stop-phase.js';
 import type { ConfigurationView } from '../follower/configuration-view.js';
 import type { Follower } from '../follower/follower.js';
 import { ConnectionPools } from '../http/connection-pools.js';
@@ -54,7 +54,7 @@
   logger.info('Listening.', { origin: listen.origin, admin: admin.origin });
   return {
     origins: { listen: listen.origin, admin: admin.origin },
-    stop: () => stopEdge(parts, servers),
+    stop: (limits = settings.stop) => stopEdge(parts, servers, limits),
   };
 }
 
@@ -133,9 +133,13 @@
  * Reports not ready while it still accepts calls, so that callers can move to another edge; then waits for calls in flight
  * and closes connections.
  */
-async function stopEdge(parts: EdgeParts, { listen, admin }: EdgeServers): Promise<void> {
-  const { settings, logger, stats, stop, follower, pools } = parts;
-  const times = stopTimes(settings.stop);
+async function stopEdge(
+  parts: EdgeParts,
+  { listen, admin }: EdgeServers,
+  limits: StopSettings,
+): Promise<void> {
+  const { logger, stats, stop, follower, pools } = parts;
+  const times = stopTimes(limits);
   stop.begin(times);
   logger.info('Stopping; reporting not ready and waiting for calls in flight.', {
     inFlight: stats.inFlight,
--- a/src/programs/node-program.ts
+++ b/src/programs/node-program.ts
@@ -4,6 +4,7 @@
  */
 import type { Registry } from 'prom-client';
 import { waitUntilAllIdle } from '../call/call-stats.js';
+import type { StopSettings } from '../call/stop-phase.js';
 import type { Logger } from '../common/logger.js';
 import { ListeningServer } from '../http/listening-server.js';
 import { NodeInboundServer } from '../node/node-inbound-server.js';
@@ -38,7 +39,7 @@
   parts.follower.start();
   const origins = { inbound: inbound.origin, outbound: outbound.origin, admin: admin.origin };
   logger.info('Listening.', origins);
-  return { origins, stop: () => stopNode(parts, servers) };
+  return { origins, stop: (limits = settings.stop) => stopNode(parts, servers, limits) };
 }
 
 async function startServers(parts: NodeParts): Promise<NodeServers> {
@@ -105,9 +106,12 @@
  * Announces that the node leaves and hands over its claims, refuses new calls until callers have updated their endpoint
  * lists, waits for calls in flight, then closes connections.
  */
-async function stopNode(parts: NodeParts, servers: NodeServers): Promise<void> {
-  const { settings, logger, leavingState, follower, claimReplica, inboundStats, outboundStats } =
-    parts;
+async function stopNode(
+  parts: NodeParts,
+  servers: NodeServers,
+  limits: StopSettings,
+): Promise<void> {
+  const { logger, leavingState, follower, claimReplica, inboundStats, outboundStats } = parts;
   const { inbound, outbound, admin } = servers;
   leavingState.isStopping = true;
   logger.info('Stopping; waiting for calls in flight.', { inFlight: inboundStats.inFlight });
@@ -115,10 +119,10 @@
     follower.announceLeaving(),
     new Promise<void>((resolve) => claimReplica.handOver(resolve)),
   ]);
-  await delay(Math.max(settings.stop.drainMs, LEAVING_LINGER_MS));
+  await delay(Math.max(limits.drainMs, LEAVING_LINGER_MS));
   const closed = inbound.close();
   const drained = waitUntilAllIdle([inboundStats, outboundStats]).then(() => closed);
-  const finished = await finishesWithin(drained, settings.stop.timeoutMs);
+  const finished = await finishesWithin(drained, limits.timeoutMs);
   if (!finished) logger.warn('Calls were still in flight at the end of the stop.');
   follower.stop();
   claimReplica.stop();
--- a/src/programs/program.ts
+++ b/src/programs/program.ts
@@ -1,11 +1,16 @@
 /** The interface of long-running programs, and helpers for their stop. */
 
+import type { StopSettings } from '../call/stop-phase.js';
+
 /** A running program, as returned by its `start` function once all its servers listen. */
 export interface Program<Settings = never> {
   /** Origins that the program listens on, by server name. */
   readonly origins: Readonly<Record<string, string>>;
-  /** Graceful stop: accepts no new work, waits for work in flight, then resolves. */
-  stop(): Promise<void>;
+  /**
+   * Graceful stop: accepts no new work, waits for work in flight, then resolves.
+   * @param limits override those of the settings
+   */
+  stop(limits?: StopSettings): Promise<void>;
   /** Applies the settings that can change while the program runs. */
   reload?(settings: Settings): void;
 }
--- a/src/programs/sidecar-program.ts
+++ b/src/programs/sidecar-program.ts
@@ -60,10 +60,10 @@
       origins,
       // Only the control origins can be reloaded: all other settings need new sockets or parts.
       reload: (next) => follower.setSeeds(next.control),
-      stop: async () => {
+      stop: async (limits = settings.stop) => {
         // From here on only the stop announces the state of the target.
         clearInterval(expiry);
-        await new SidecarStop(parts, servers).run(settings.stop);
+        await new SidecarStop(parts, servers).run(limits);
       },
     };
   }
--- a/test/cli/command-line.test.ts
+++ b/test/cli/command-line.test.ts
@@ -80,10 +80,10 @@
 
 describe('the exit codes', () => {
   it('are those of the reference page', () => {
-    expect(Object.values(EXIT_CODES)).to.deep.equal([0, 1, 2, 3, 4, 5]);
+    expect(Object.values(EXIT_CODES)).to.deep.equal([0, 1, 2, 3, 4, 5, 6]);
     const page = readFileSync('docs/reference/exit-codes.md', 'utf8');
     const codes = [...page.matchAll(/^\| (\d+) /gm)].map((match) => Number(match[1]));
-    expect(codes).to.deep.equal([0, 1, 2, 3, 4, 5]);
+    expect(codes).to.deep.equal([0, 1, 2, 3, 4, 5, 6]);
   });
 
   const token = { SHOREDOOR_TOKEN: 'token-of-nobody' };
