Metrics and a log line for an event loop that is held up, and the heap limit as a metric

Nothing said whether a process that others took for dead was held up by one of its own callbacks. prom-client's histogram of the delay is sampled once a second and contains that second: its maximum was 1,001 ms in an idle process and 1,300 ms in one that had been held for 700 ms (monitorEventLoopDelay with a resolution of 1,000 ms, one run). Heap in use was exposed, its limit was not. Descriptors and their limit were already (process_open_fds, process_max_fds).

A timer of 250 ms measures its own lateness: the longest since the last scrape is a metric, and from one second on a log line gives it with the processor time used, which tells a callback that computes from a process that did not run.

--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -6,6 +6,7 @@
 import type { z } from 'zod';
 import type { StopSettings } from '../call/stop-phase.js';
 import { createLogger, type LogLevel, type Logger } from '../common/logger.js';
+import { eventLoopMonitor } from '../observe/event-loop-monitor.js';
 import type { Program } from '../programs/program.js';
 import { loadSettings } from '../settings/load-settings.js';
 import { prepareHashing } from '../common/rendezvous-hash.js';
@@ -49,6 +50,7 @@
   const settings = load();
   const logger = createLogger(name, settings.id, settings.logLevel);
   lifecycle.onSettings(settings.id);
+  eventLoopMonitor.start(logger);
   await prepareHashing();
   // Lets the event loop turn: a signal that has come while modules were loaded is handled before servers listen.
   await setImmediate();
--- a/src/observe/admin-server.ts
+++ b/src/observe/admin-server.ts
@@ -3,6 +3,7 @@
 import { Registry, collectDefaultMetrics } from 'prom-client';
 import type { ListenAddress } from '../http/listen.js';
 import { ListeningServer } from '../http/listening-server.js';
+import { registerProcessMetrics } from './process-metrics.js';
 
 /** Options of an admin server. */
 export interface AdminOptions {
@@ -21,13 +22,14 @@
 /** Sampling interval of the event loop delay. Each sample wakes the process, 100 times a second by default. */
 const EVENT_LOOP_SAMPLE_INTERVAL_MS = 1_000;
 
-/** Creates a metrics registry with the default metrics of the process. */
+/** Creates a metrics registry with the metrics of the process. */
 export function createMetricsRegistry(): Registry {
   const registry = new Registry();
   collectDefaultMetrics({
     register: registry,
     eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL_MS,
   });
+  registerProcessMetrics(registry);
   return registry;
 }
 
--- a/test/pins/source-texts.test.ts
+++ b/test/pins/source-texts.test.ts
@@ -21,6 +21,7 @@
       'clock',
       'follower',
       'platform',
+      'process',
       'quarantine',
       'quota',
       'replication',
--- a/test/support/failing-program.ts
+++ b/test/support/failing-program.ts
@@ -23,6 +23,9 @@
   logLevel: z.literal('info').default('info'),
 });
 
+/** How long a callback runs, in milliseconds. */
+const HOLD_MS = 2_000;
+
 const faults: Record<string, () => void> = {
   'throws-once': () => throwLater(0),
   'rejects-once': () => void Promise.reject(new Error('a rejection')),
@@ -35,6 +38,10 @@
     throwLater(0);
     throwLater(100);
   },
+  'holds-event-loop': () => {
+    const endAt = performance.now() + HOLD_MS;
+    while (performance.now() < endAt);
+  },
   'ends-alone': () => process.exit(),
 };
 
