--- a/src/cli/launch.ts
+++ b/src/cli/launch.ts
@@ -9,11 +9,13 @@
 import { createRequire, Module } from 'node:module';
 import { dirname, resolve } from 'node:path';
 import { Script } from 'node:vm';
+import { EXIT_CODES } from './exit-codes.js';
+import { ProcessLifecycle } from './process-lifecycle.js';
 
 /** The exports of a bundle. */
 interface Bundle {
   /** Runs the program named by the arguments. */
-  run(args: readonly string[]): Promise<void>;
+  run(args: readonly string[], lifecycle: ProcessLifecycle): Promise<void>;
   /** Loads the modules of all programs without running them. */
   loadAll(): Promise<void>;
 }
@@ -59,17 +61,33 @@
 
 async function main(args: readonly string[]): Promise<void> {
   const [first = '', ...rest] = args;
-  if (first !== WRITE_CACHE) {
-    await loadBundle(resolve(first)).bundle.run(rest);
-    return;
+  if (first === WRITE_CACHE) await writeCache(resolve(rest[0] ?? ''));
+  else await runBundle(resolve(first), rest);
+}
+
+async function runBundle(file: string, args: readonly string[]): Promise<void> {
+  // Comes first: until then, signals end the process, and loading a bundle takes a while.
+  const [program, settingsFile] = args;
+  const lifecycle = ProcessLifecycle.begin({ program, settingsFile });
+  try {
+    await loadBundle(file).bundle.run(args, lifecycle);
+  } catch (error) {
+    writeError(error);
+    process.exit(lifecycle.onFailedStart(error));
   }
-  const file = resolve(rest[0] ?? '');
+}
+
+async function writeCache(file: string): Promise<void> {
   const { script, bundle } = loadBundle(file);
   await bundle.loadAll();
   writeFileSync(cacheOf(file), script.createCachedData());
 }
 
-void main(process.argv.slice(2)).catch((error: unknown) => {
+function writeError(error: unknown): void {
   process.stderr.write(`shoredoor: ${error instanceof Error ? error.stack : String(error)}\n`);
-  process.exit(1);
+}
+
+void main(process.argv.slice(2)).catch((error: unknown) => {
+  writeError(error);
+  process.exit(EXIT_CODES.failed);
 });
