A log that cannot be written no longer ends a process

Operators saw processes end with status 1 after 0.1 to 0.3 s, with a stack of a failed write and no log line, whenever the reader of their standard output had closed it before the first line, or it was a full device.

Cause: bunyan wrote to process.stdout, which emits 'error' after a failed write; without a listener that is an uncaught exception. A listener alone does not help: a failed stream of Node.js is destroyed and never writes again, and one whose reader is slow keeps any amount of lines.

CapturedLines and the test of the origins line took their lines from process.stdout.write, which is no longer on the way; they take them from the LineOutput now and check the same.

--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -3,6 +3,7 @@
  * it gracefully, SIGHUP reloads its settings.
  */
 import type { z } from 'zod';
+import { getStandardOutput } from '../common/line-output.js';
 import { createLogger, type LogLevel, type Logger } from '../common/logger.js';
 import type { Program } from '../programs/program.js';
 import { loadSettings } from '../settings/load-settings.js';
@@ -50,7 +51,7 @@
   reloadOnSignal(program, load, logger);
   // Reports the bound ports to supervisors. Must come after the handlers are installed: a signal sent on this line would
   // kill the process otherwise.
-  process.stdout.write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
+  getStandardOutput().write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
 }
 
 /** Stops the program at the first signal; later signals are ignored. */
--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -1,5 +1,6 @@
 /** Structured logging with bunyan: JSON lines on standard output. Messages have the prefix of a component. */
 import bunyan from 'bunyan';
+import { getStandardOutput, type LineOutput } from './line-output.js';
 
 /** Fields of a log record besides the message. */
 export type LogFields = Record<string, unknown>;
@@ -45,15 +46,27 @@
   }
 }
 
-/** Creates the logger of a program. @param processId the `id` in the settings, added to each record */
-export function createLogger(prefix: string, processId: string, level: LogLevel): Logger {
+/**
+ * Creates the logger of a program. Lines that the output has lost are reported once it can be written again.
+ * @param processId the `id` in the settings, added to each record
+ */
+export function createLogger(
+  prefix: string,
+  processId: string,
+  level: LogLevel,
+  output: LineOutput = getStandardOutput(),
+): Logger {
   const target = bunyan.createLogger({
     name: 'shoredoor',
     processId,
     level,
-    streams: [{ stream: process.stdout, level }],
+    // Bunyan uses no other method of a stream than `write`.
+    streams: [{ stream: output as unknown as NodeJS.WritableStream, level }],
   });
-  return new PartLogger(target, prefix);
+  const logger = new PartLogger(target, prefix);
+  const lossLogger = logger.part('log');
+  output.reportLossTo((lines, cause) => lossLogger.error('Lost log lines.', { lines, cause }));
+  return logger;
 }
 
 /** A logger that discards all messages, for tests and the simulator. */
--- a/test/cli/run-program.test.ts
+++ b/test/cli/run-program.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'chai';
 import { z } from 'zod';
 import { runProgram } from '../../src/cli/run-program.js';
+import { getStandardOutput } from '../../src/common/line-output.js';
 
 const SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
 const settingsSchema = z.object({
@@ -15,19 +16,19 @@
 describe('a program that says which addresses it has', () => {
   it('can be stopped in order from then on', async () => {
     const before = new Map(SIGNALS.map((signal) => [signal, process.listeners(signal)]));
-    const write = process.stdout.write.bind(process.stdout);
+    const output = getStandardOutput();
+    const write = output.write.bind(output);
     const handlersAtAnnouncement: number[] = [];
-    process.stdout.write = (text: string | Uint8Array): boolean => {
-      if (!String(text).includes('"origins"')) return write(text);
+    output.write = (line): void => {
+      if (!line.includes('"origins"')) return write(line);
       for (const signal of SIGNALS) handlersAtAnnouncement.push(process.listenerCount(signal));
-      return true;
     };
     try {
       await runProgram('test', settingsSchema, {}, () =>
         Promise.resolve({ origins: {}, stop: () => Promise.resolve() }),
       );
     } finally {
-      process.stdout.write = write;
+      output.write = write;
       for (const signal of SIGNALS) {
         for (const listener of process.listeners(signal)) {
           if (!before.get(signal)!.includes(listener)) process.off(signal, listener);
--- a/test/pins/source-texts.test.ts
+++ b/test/pins/source-texts.test.ts
@@ -20,6 +20,7 @@
       'api',
       'clock',
       'follower',
+      'log',
       'platform',
       'quarantine',
       'quota',
--- a/test/support/captured-lines.ts
+++ b/test/support/captured-lines.ts
@@ -1,10 +1,10 @@
-/** Captures the JSON log lines that a test's logger writes to standard output. */
+/** Captures the JSON log lines that a test's logger writes. */
+import { LineOutput } from '../../src/common/line-output.js';
 import { createLogger, type Logger } from '../../src/common/logger.js';
 
 /** The fields of a log line. */
 export type CapturedLine = Readonly<Record<string, unknown>>;
 
-const LINE_START = '{"name":"shoredoor"';
 const FIELDS_OF_ALL_LINES: readonly string[] = [
   'name',
   'hostname',
@@ -14,26 +14,24 @@
   'v',
 ];
 
-const captures = new Set<CapturedLines>();
-let restoreOutput: (() => void) | undefined;
-
 export class CapturedLines {
   readonly logger: Logger;
   /** Captured lines with all fields. */
   readonly records: CapturedLine[] = [];
+  private isEnded = false;
 
   /**
    * Starts capturing; {@link end} stops it.
    * @param program prefix of the logger
-   * @param processId distinguishes the lines of concurrent captures
+   * @param processId the `processId` of its lines
    */
-  constructor(
-    program: string,
-    readonly processId: string,
-  ) {
-    this.logger = createLogger(program, processId, 'info');
-    captures.add(this);
-    restoreOutput ??= interceptStdout();
+  constructor(program: string, processId: string) {
+    const output = new LineOutput((bytes) => {
+      const record = JSON.parse(Buffer.from(bytes).toString()) as CapturedLine;
+      if (!this.isEnded) this.records.push(record);
+      return bytes.length;
+    });
+    this.logger = createLogger(program, processId, 'info', output);
   }
 
   get lines(): CapturedLine[] {
@@ -57,28 +55,6 @@
   }
 
   end(): void {
-    captures.delete(this);
-    if (captures.size > 0) return;
-    restoreOutput?.();
-    restoreOutput = undefined;
+    this.isEnded = true;
   }
 }
-
-/** Passes log lines to their captures and all other output through. @returns a function that restores stdout */
-function interceptStdout(): () => void {
-  const write = process.stdout.write.bind(process.stdout);
-  const divert = (chunk: string | Uint8Array, ...rest: never[]): boolean =>
-    isCaptured(String(chunk)) || write(chunk, ...rest);
-  process.stdout.write = divert;
-  return () => {
-    process.stdout.write = write;
-  };
-}
-
-function isCaptured(text: string): boolean {
-  if (!text.startsWith(LINE_START)) return false;
-  const record = JSON.parse(text) as CapturedLine;
-  const capture = [...captures].find(({ processId }) => processId === record.processId);
-  capture?.records.push(record);
-  return capture !== undefined;
-}
