--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -5,6 +5,7 @@
 import { setImmediate } from 'node:timers/promises';
 import type { z } from 'zod';
 import type { StopSettings } from '../call/stop-phase.js';
+import { getStandardOutput } from '../common/line-output.js';
 import { createLogger, type LogLevel, type Logger } from '../common/logger.js';
 import { eventLoopMonitor } from '../observe/event-loop-monitor.js';
 import type { Program } from '../programs/program.js';
@@ -61,7 +62,7 @@
   });
   // Reports the bound ports to supervisors. Must come after the signals are passed to the program: a stop requested on this
   // line would not be graceful otherwise.
-  process.stdout.write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
+  getStandardOutput().write(`${JSON.stringify({ id: settings.id, origins: program.origins })}\n`);
 }
 
 async function stopProgram(
