Soak of starts: a site whose processes meet trouble in their first seconds

The soaks begin their faults once all processes are ready, so that none saw processes that do not start, or end before that. The profile `starts` starts 5 control replicas and 4 to 20 sidecars in drawn orders under a supervisor, beside signals in the first seconds, addresses in use for up to 2 s and log output that is closed, full or unread. At most one seed and one other replica are lost; restarts do not bootstrap. Checked: no process ends without a signal that explains it, each runs at the end, and each machine serves within 15 s of the last restart. A signal sent before a process has read its bundle, that is before the first statement of the launcher, explains an end; later ones do not. The programs run from one bundle with the launcher and the flags of deployments.

Settings of a soak's programs and the registrations of its targets are modules of their own now, which both kinds of run use.

--- a/lab/cli/soak-command.ts
+++ b/lab/cli/soak-command.ts
@@ -6,6 +6,8 @@
 import { drawPlan, type SoakPlan } from '../soak/soak-plan.js';
 import { drawCrashPlan } from '../soak/crash-plan.js';
 import { drawLimitPlan, drawManyLimitsPlan } from '../soak/limit-plan.js';
+import type { SoakResult } from '../soak/run-soak.js';
+import { drawStartPlan } from '../soak/start-plan.js';
 import { drawStopPlan } from '../soak/stop-plan.js';
 import { drawUploadPlan } from '../soak/upload-plan.js';
 import { wholeNumber } from './options.js';
@@ -18,17 +20,39 @@
   readonly profile: string;
 }
 
-/** Plan generators by the value of `--profile`. */
-const PROFILES: Readonly<Record<string, (seed: number, durationMs: number) => SoakPlan>> = {
-  mixed: drawPlan,
-  stops: drawStopPlan,
-  crashes: drawCrashPlan,
-  limits: drawLimitPlan,
-  'many-limits': drawManyLimitsPlan,
-  uploads: drawUploadPlan,
+/** Draws the plan of a seed and runs it in a folder. */
+type SoakProfile = (seed: number, durationMs: number, folder: string) => Promise<PlayedPlan>;
+
+interface PlayedPlan {
+  readonly plan: SoakPlan;
+  readonly result: SoakResult;
+}
+
+/** Profiles by the value of `--profile`. */
+const PROFILES: Readonly<Record<string, SoakProfile>> = {
+  mixed: trafficProfile(drawPlan),
+  stops: trafficProfile(drawStopPlan),
+  crashes: trafficProfile(drawCrashPlan),
+  limits: trafficProfile(drawLimitPlan),
+  'many-limits': trafficProfile(drawManyLimitsPlan),
+  uploads: trafficProfile(drawUploadPlan),
+  starts: async (seed, durationMs, folder) => {
+    const { runStarts } = await import('../soak/run-starts.js');
+    const plan = drawStartPlan(seed, durationMs);
+    return { plan, result: await runStarts(plan, folder) };
+  },
 };
 
-function profileOf(name: string): (seed: number, durationMs: number) => SoakPlan {
+/** A profile whose faults begin once all processes run. */
+function trafficProfile(draw: (seed: number, durationMs: number) => SoakPlan): SoakProfile {
+  return async (seed, durationMs, folder) => {
+    const { runSoak } = await import('../soak/run-soak.js');
+    const plan = draw(seed, durationMs);
+    return { plan, result: await runSoak(plan, folder) };
+  };
+}
+
+function profileOf(name: string): SoakProfile {
   const profile = Object.hasOwn(PROFILES, name) ? PROFILES[name] : undefined;
   if (profile === undefined) {
     throw new UsageError(`--profile must be one of ${Object.keys(PROFILES).join(', ')}`);
@@ -62,21 +86,15 @@
 }
 
 async function soak(options: SoakOptions): Promise<void> {
-  const { runSoak } = await import('../soak/run-soak.js');
   const first = wholeNumber('--seed', options.seed, 0);
   const count = wholeNumber('--seeds', options.seeds, 1);
   const durationMs = wholeNumber('--seconds', options.seconds, MIN_SECONDS) * MS_PER_SECOND;
-  const draw = profileOf(options.profile);
+  const play = profileOf(options.profile);
   const folder = options.dir ?? join(tmpdir(), 'shoredoor-soak');
   let failed = 0;
   for (let seed = first; seed < first + count; seed += 1) {
-    const plan = draw(seed, durationMs);
-    const {
-      violations,
-      checkCounts: chances,
-      successRatio: servedPart,
-      workDir,
-    } = await runSoak(plan, join(folder, `seed-${seed}`));
+    const { plan, result } = await play(seed, durationMs, join(folder, `seed-${seed}`));
+    const { violations, checkCounts: chances, successRatio: servedPart, workDir } = result;
     const counts = [...chances].map(([check, chance]) => `${check} ${chance}`).join(', ');
     const faults = plan.faults.map(({ kind }) => kind).join(' ');
     const served = servedPart.toFixed(SERVED_DECIMALS);
--- a/lab/fleet/program-process.ts
+++ b/lab/fleet/program-process.ts
@@ -17,6 +17,11 @@
 /** Programs of the product, by their command names. */
 export type ProgramName = 'control' | 'edge' | 'node' | 'sidecar';
 
+/** Settings that all programs have. */
+export function commonSettings(id: string): object {
+  return { id, zone: 'zone-a', admin: ANY_PORT, linkToken: LINK_TOKEN };
+}
+
 export class ProgramProcess {
   /** Number of ends that no signal of this object caused. */
   ownExits = 0;
@@ -34,8 +39,7 @@
   async start(): Promise<void> {
     const { id, program, workDir } = this;
     const file = join(workDir, `${id}.yaml`);
-    const common = { id, zone: 'zone-a', admin: ANY_PORT, linkToken: LINK_TOKEN };
-    writeFileSync(file, stringify({ ...common, ...this.settings }));
+    writeFileSync(file, stringify({ ...commonSettings(id), ...this.settings }));
     const args = [program, '--config', file];
     this.child = await FleetChild.start(id, PRODUCT_SCRIPT, args, join(workDir, `${id}.log`));
     this.child.onOwnExit(() => (this.ownExits += 1));
--- a/lab/soak/run-soak.ts
+++ b/lab/soak/run-soak.ts
@@ -4,18 +4,19 @@
  */
 import { existsSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { request } from 'undici';
 import { UsageError } from '../../src/common/errors.js';
 import { SeededRandom } from '../../src/common/random.js';
 import { DeadlyClient } from './deadly-client.js';
 import { SoakClients } from './soak-clients.js';
 import { UploadClients } from './upload-clients.js';
 import { SoakFaults } from './soak-faults.js';
-import { RETRY_BUDGET, SoakFleet, type SoakMachine } from './soak-fleet.js';
+import { SoakFleet, type SoakMachine } from './soak-fleet.js';
 import { isVersionInForce, nestedPath, SOAK_HOST, SoakOperator } from './soak-operator.js';
 import type { PlannedFault, SoakPlan } from './soak-plan.js';
 import { Check, SoakRecord, type Violation } from './soak-record.js';
+import { RETRY_BUDGET } from './soak-settings.js';
 import { SoakTarget, type TargetContext } from './soak-target.js';
+import { TargetReports } from './target-reports.js';
 
 export interface SoakResult {
   readonly violations: readonly Violation[];
@@ -28,7 +29,6 @@
 }
 
 const PLAN_FILE = 'plan.json';
-const REPORT_INTERVAL_MS = 500;
 /** Time for membership and routes to propagate before the plan starts, in milliseconds. */
 const WARMUP_MS = 4_000;
 /** Minimum wait for requests in flight at the end, in milliseconds. */
@@ -44,12 +44,7 @@
 
 /** Runs a plan. @throws when a process does not start, or the folder holds the files of an earlier run */
 export async function runSoak(plan: SoakPlan, workDir: string): Promise<SoakResult> {
-  if (existsSync(join(workDir, PLAN_FILE))) {
-    // Control replicas would load the state of that run, whose addresses are no longer valid.
-    throw new UsageError(`${workDir} holds an earlier run; remove it, or name another folder`);
-  }
-  mkdirSync(workDir, { recursive: true });
-  writeFileSync(join(workDir, PLAN_FILE), JSON.stringify(plan, undefined, 2));
+  prepareFolder(plan, workDir);
   const fleet = await SoakFleet.start(plan, workDir);
   const run = new SoakRun(plan, fleet);
   try {
@@ -65,6 +60,16 @@
   }
 }
 
+/** Creates the folder of a run and writes its plan there. @throws UsageError when it holds an earlier run */
+export function prepareFolder(plan: SoakPlan, workDir: string): void {
+  if (existsSync(join(workDir, PLAN_FILE))) {
+    // Control replicas would load the state of that run, whose addresses are no longer valid.
+    throw new UsageError(`${workDir} holds an earlier run; remove it, or name another folder`);
+  }
+  mkdirSync(workDir, { recursive: true });
+  writeFileSync(join(workDir, PLAN_FILE), JSON.stringify(plan, undefined, 2));
+}
+
 class SoakRun {
   readonly record = new SoakRecord();
   private readonly startedAt = performance.now();
@@ -75,8 +80,7 @@
   private readonly faults: SoakFaults;
   /** Times at which the last fault of each machine ended, by machine index; Infinity while one is in progress. */
   private readonly lastFaultAt = new Map<number, number>();
-  private reportTimer: NodeJS.Timeout | undefined;
-  private sequence = 0;
+  private reports: TargetReports | undefined;
   private isOver = false;
   /** Start of the fault-free period, in milliseconds. */
   private faultFreeFrom = Infinity;
@@ -124,7 +128,7 @@
 
   async end(): Promise<void> {
     this.isOver = true;
-    clearInterval(this.reportTimer);
+    this.reports?.end();
     await Promise.all(this.clients.map((each) => each.end()));
     for (const each of this.uploadClients) each.end();
     for (const target of this.targets) target.stop();
@@ -161,29 +165,13 @@
       };
       this.targets.push(await SoakTarget.start(context, options));
     }
-    this.reportTimer = setInterval(() => this.reportTargets(), REPORT_INTERVAL_MS);
-    this.reportTargets();
-  }
-
-  private reportTargets(): void {
-    this.sequence += 1;
-    for (const machine of this.fleet.machines) void this.report(machine, this.sequence);
-  }
-
-  private async report({ index, service, registration }: SoakMachine, sequence: number) {
-    const { address, instance, isCrashed } = this.targets[index]!;
-    if (isCrashed) return;
-    const { name, slots } = service;
-    try {
-      const response = await request(`${registration}/v1/instances/${instance}`, {
-        method: 'PUT',
-        body: JSON.stringify({ service: name, address, slots, state: 'ready', sequence }),
-        signal: AbortSignal.timeout(REPORT_INTERVAL_MS),
-      });
-      await response.body.dump();
-    } catch {
-      // The sidecar is down or paused; the next report repeats the registration.
-    }
+    this.reports = new TargetReports(
+      this.fleet.machines.map(({ index, service, registration }) => ({
+        target: this.targets[index]!,
+        service,
+        registration,
+      })),
+    );
   }
 
   private startClients(): void {
--- a/lab/soak/soak-faults.ts
+++ b/lab/soak/soak-faults.ts
@@ -2,9 +2,9 @@
 import type { ProgramProcess } from '../fleet/program-process.js';
 import type { DeadlyClient } from './deadly-client.js';
 import type { SoakFleet, SoakMachine, SoakReplica } from './soak-fleet.js';
-import { GRACE_MS } from './soak-fleet.js';
 import { FaultKind, isControlFault, type PlannedFault } from './soak-plan.js';
 import type { SoakRecord } from './soak-record.js';
+import { GRACE_MS } from './soak-settings.js';
 import type { SoakTarget } from './soak-target.js';
 
 const SLOWDOWN_FACTOR = 6;
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -8,17 +8,10 @@
 import { ProgramProcess } from '../fleet/program-process.js';
 import { LoopbackProxy } from './loopback-proxy.js';
 import type { SoakPlan, SoakService } from './soak-plan.js';
+import { controlSettings, originOf, sidecarSettings } from './soak-settings.js';
 
-const HEARTBEAT_MS = 500;
-const MEMBER_LEASE_MS = 3_500;
-const ELECTION_TIMEOUT_MS = 600;
-/** Time from SIGTERM to SIGKILL, in milliseconds. */
-export const GRACE_MS = 6_000;
 const PORTS_PER_MACHINE = 4;
 
-/** The retry budget in the settings of the sidecars. */
-export const RETRY_BUDGET = { ratio: 0.2, slack: 40, windowMs: 10_000 };
-
 /** A machine: a sidecar, and the proxy through which other sidecars connect to it. */
 export interface SoakMachine {
   readonly index: number;
@@ -70,21 +63,12 @@
 
   private async startReplicas(count: number): Promise<void> {
     const ports = await freePorts(count);
-    const seeds = ports.map((port) => `http://127.0.0.1:${port}`);
+    const seeds = ports.map(originOf);
     for (const [index, port] of ports.entries()) {
       const id = `control-${index}`;
-      const process = new ProgramProcess(id, 'control', this.workDir, {
-        listen: { host: '127.0.0.1', port },
-        advertise: seeds[index],
-        seeds,
-        bootstrap: true,
-        voters: count,
-        dataDir: join(this.workDir, id),
-        electionTimeoutMs: ELECTION_TIMEOUT_MS,
-        memberLeaseMs: MEMBER_LEASE_MS,
-        claims: false,
-        declarations: 'open',
-      });
+      const dataDir = join(this.workDir, id);
+      const settings = controlSettings({ port, seeds, bootstrap: true, voters: count, dataDir });
+      const process = new ProgramProcess(id, 'control', this.workDir, settings);
       this.replicas.push({ process, origin: seeds[index]! });
     }
     await Promise.all(this.replicas.map(({ process }) => process.start()));
@@ -105,25 +89,23 @@
     const [inbound, outbound, registration, target] = await freePorts(PORTS_PER_MACHINE);
     const proxy = await LoopbackProxy.start(inbound!);
     const id = `sidecar-${index}`;
-    const process = new ProgramProcess(id, 'sidecar', this.workDir, {
-      service: service.name,
-      inbound: { host: '127.0.0.1', port: inbound },
+    const settings = sidecarSettings({
+      service,
+      inbound: inbound!,
       advertise: proxy.origin,
-      outbound: { host: '127.0.0.1', port: outbound },
-      registration: { host: '127.0.0.1', port: registration },
-      target: `127.0.0.1:${target}`,
+      outbound: outbound!,
+      registration: registration!,
+      target: target!,
       control,
-      heartbeatIntervalMs: HEARTBEAT_MS,
-      retries: RETRY_BUDGET,
-      stop: { graceMs: GRACE_MS },
     });
+    const process = new ProgramProcess(id, 'sidecar', this.workDir, settings);
     this.machines.push({
       index,
       service,
       process,
       proxy,
-      outbound: `http://127.0.0.1:${outbound}`,
-      registration: `http://127.0.0.1:${registration}`,
+      outbound: originOf(outbound!),
+      registration: originOf(registration!),
       targetPort: target!,
     });
   }
--- a/lab/soak/soak-operator.ts
+++ b/lab/soak/soak-operator.ts
@@ -26,7 +26,7 @@
 
   constructor(
     private readonly plan: SoakPlan,
-    private readonly replicas: readonly SoakReplica[],
+    private readonly replicas: readonly Pick<SoakReplica, 'origin'>[],
     private readonly isOver: () => boolean,
   ) {}
 
@@ -48,7 +48,11 @@
     return undefined;
   }
 
-  private async put({ origin }: SoakReplica, version: number, base: number): Promise<boolean> {
+  private async put(
+    { origin }: Pick<SoakReplica, 'origin'>,
+    version: number,
+    base: number,
+  ): Promise<boolean> {
     try {
       const response = await request(`${origin}/v1/declarations`, {
         method: 'PUT',
@@ -74,13 +78,18 @@
   version: number,
   id: string,
 ): Promise<boolean | undefined> {
-  const present = await statusOf(outbound, markerPath(version), `${id}-present`);
-  const earlier = await statusOf(outbound, markerPath(version - 1), `${id}-earlier`);
+  const present = await requestStatus(outbound, markerPath(version), `${id}-present`);
+  const earlier = await requestStatus(outbound, markerPath(version - 1), `${id}-earlier`);
   if (present === undefined || earlier === undefined) return undefined;
   return present !== STATUS_NO_ROUTE && earlier === STATUS_NO_ROUTE;
 }
 
-async function statusOf(outbound: string, path: string, id: string): Promise<number | undefined> {
+/** Sends a request through a sidecar. @returns its status; undefined without a response */
+export async function requestStatus(
+  outbound: string,
+  path: string,
+  id: string,
+): Promise<number | undefined> {
   try {
     const response = await request(`${outbound}${path}1`, {
       headers: { host: SOAK_HOST, [DEFAULT_TARGET_HEADERS.requestId]: id },
