A command line whose modules are missing ends as a failed start; tests of faulty sidecars and control

An installation without one of the command line's modules ended with the code of an error in the program (6) and the reason 'uncaught-exception': the import is the first thing that main.ts does after it has begun the life of the process. It is a failed start, with 1, the phase 'loading' and the module in the error. Seen in a build into another folder; the new test of process-end removes command-line.js.

New tests, with no change of code: a sidecar and a control replica with a callback that throws stop in order, without the drain of 60 s that their settings give a planned stop, and end with 6.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -26,5 +26,12 @@
 }
 
 const lifecycle = beginLifecycle(process.argv.slice(2));
-const { runCommandLine } = await import('./command-line.js');
-await runCommandLine(process.argv, lifecycle);
+try {
+  const { runCommandLine } = await import('./command-line.js');
+  await runCommandLine(process.argv, lifecycle);
+} catch (error) {
+  if (lifecycle === undefined) throw error;
+  // The modules of the command line are missing or broken: it reports all other errors itself.
+  process.stderr.write(`shoredoor: ${String(error)}\n`);
+  process.exit(lifecycle.onFailedStart(error));
+}
--- a/test/cli/process-end.test.ts
+++ b/test/cli/process-end.test.ts
@@ -2,10 +2,13 @@
 import { expect } from 'chai';
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { closeSync, openSync } from 'node:fs';
+import { closeSync, cpSync, mkdtempSync, openSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
 import {
+  controlDocument,
   PRODUCT_SCRIPT,
   ProductProcess,
   SettingsFile,
@@ -14,6 +17,7 @@
 import { bundlePrograms, type TestBundle } from '../support/test-bundle.js';
 
 const FAILING_PROGRAM = fileURLToPath(new URL('../support/failing-program.js', import.meta.url));
+const FAULTY_PRODUCT = fileURLToPath(new URL('../support/faulty-product.js', import.meta.url));
 const UNREACHABLE = 'http://127.0.0.1:1';
 const END_LINE = 'process: Ended.';
 const FAULT_LINE = 'process: An error was not caught.';
@@ -89,6 +93,20 @@
     });
   }
 
+  it('names a module of the command line that is missing', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'shoredoor-broken-'));
+    cpSync(dirname(PRODUCT_SCRIPT), folder, {
+      recursive: true,
+      filter: (file) => !file.endsWith('command-line.js'),
+    });
+    writeFileSync(join(folder, 'package.json'), '{"type":"module"}');
+    const child = ProductProcess.start([join(folder, 'main.js'), 'sidecar', '--config', 'x']);
+    expect(await child.ended).to.deep.equal({ code: 1, signal: null });
+    const line = lastLineOf(child);
+    expect(line).to.include({ msg: END_LINE, reason: 'failed-start', phase: 'loading' });
+    expect(line.error).to.contain('command-line.js');
+  });
+
   it('names the error of a failed stop', async () => {
     const { child } = await startFailing('fails-to-stop');
     child.kill('SIGTERM');
@@ -157,6 +175,23 @@
     });
   }
 
+  // A planned stop drains for longer than a test may take.
+  const stop = { drainMs: 60_000, timeoutMs: 60_000 };
+  const documents = {
+    sidecar: { ...sidecarDocument(UNREACHABLE), stop },
+    control: { ...controlDocument(UNREACHABLE), stop },
+  };
+  for (const [program, document] of Object.entries(documents)) {
+    it(`stops in order, without the drain of a planned stop: ${program}`, async () => {
+      const file = new SettingsFile(document);
+      const child = ProductProcess.start([FAULTY_PRODUCT, program, file.path]);
+      expect(await child.ended).to.deep.equal(FAULT_CODE);
+      const lines = child.records.map(({ msg }) => msg).filter((msg) => msg !== undefined);
+      expect(lines.indexOf(`${program}: Stopped.`)).to.be.above(lines.indexOf(FAULT_LINE));
+      expect(lines.at(-1)).to.equal(END_LINE);
+    });
+  }
+
   it('ends at once at the second one', async () => {
     const { child, origin } = await startFailing('throws-twice');
     const answer = await request(origin).catch(() => 'cut');
