Formation: a proposer waits for its own ballot as long as that makes progress

Operators saw (trial of calm starts beside other load, load average 22): in one of ten starts five control processes with all seeds in touch formed no set in 10 s. Cause: a ballot took longer than the 150 to 450 ms after which a proposer begins the next one, as each step waits for a sync; every new ballot then ended the one before. Repeated requests also wrote the same record again.

Change: each step that an acceptor agrees to postpones the next ballot, and from the third ballot on the wait doubles; a repeated request is answered without a write.

--- a/lab/simulator/formation/formation-world.ts
+++ b/lab/simulator/formation/formation-world.ts
@@ -49,7 +49,11 @@
   private readonly faults: string[] = [];
   private lastFaultEndsAt = 0;
 
-  constructor(private readonly seed: number) {
+  /** @param slownessMs additional time of each sync to disk */
+  constructor(
+    private readonly seed: number,
+    private readonly slownessMs = 0,
+  ) {
     this.random = new SeededRandom(seed);
     const { clock, random } = this;
     this.network = new SimNetwork({ clock, random, zoneLatencyMs: LATENCY_MS });
@@ -91,6 +95,7 @@
       name,
       clock: this.clock,
       random: new SeededRandom(this.seed * 8 + index),
+      slownessMs: this.slownessMs,
       send: (from, to, message) => this.send(from, to, encodeMessage(message)),
       onFormed: (replicas) => this.sets.add(JSON.stringify(replicas)),
     });
--- a/lab/simulator/formation/restorable-peer.ts
+++ b/lab/simulator/formation/restorable-peer.ts
@@ -45,6 +45,7 @@
     transport: { send: (to, message) => sent.push({ to, message: message as FormationMessage }) },
     onChosen: (replicas) => (chosen = replicas),
     onOtherBallot: () => undefined,
+    onProgress: () => undefined,
   });
   peer.restore(memory);
   step(peer);
--- a/lab/simulator/formation/sim-control.ts
+++ b/lab/simulator/formation/sim-control.ts
@@ -22,6 +22,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly send: (from: SimControl, to: MessageTarget, message: RaftMessage) => void;
+  /** Additional time of each sync to disk, in milliseconds. */
+  readonly slownessMs: number;
   /** Called with each initial replica set that is written to disk. */
   readonly onFormed: (replicas: ReplicaSet) => void;
 }
@@ -35,10 +37,10 @@
   private identitiesDrawn = 0;
 
   constructor(private readonly options: SimControlOptions) {
-    const { name, clock, random } = options;
+    const { name, clock, random, slownessMs } = options;
     this.machine = new SimMachine(name, name);
     this.machine.kill();
-    this.disk = new SimDisk({ clock, random, acknowledgesBeforeSync: false });
+    this.disk = new SimDisk({ clock, random, acknowledgesBeforeSync: false, slownessMs });
   }
 
   get name(): string {
--- a/lab/simulator/replication/sim-disk.ts
+++ b/lab/simulator/replication/sim-disk.ts
@@ -15,6 +15,8 @@
   readonly random: RandomSource;
   /** Lab only: whether writes are acknowledged before they are synced. */
   readonly acknowledgesBeforeSync: boolean;
+  /** Additional time of each sync, in milliseconds. Default 0. */
+  readonly slownessMs?: number;
 }
 
 interface UnsyncedAppend {
@@ -113,7 +115,7 @@
 
   private afterSync(incarnation: number, done: FileCallback, sync: () => void): void {
     const { clock, random, acknowledgesBeforeSync } = this.options;
-    const delayMs = SYNC_MIN_MS + SYNC_SPREAD_MS * random.next();
+    const delayMs = SYNC_MIN_MS + SYNC_SPREAD_MS * random.next() + (this.options.slownessMs ?? 0);
     if (acknowledgesBeforeSync)
       clock.schedule(0, () => this.runIfCurrent(incarnation, () => done(undefined)));
     clock.schedule(delayMs, () => {
--- a/src/consensus/formation-acceptor.ts
+++ b/src/consensus/formation-acceptor.ts
@@ -15,13 +15,17 @@
 
 export class FormationAcceptor {
   private isSaving = false;
+  /** The newest record that is on disk. */
+  private synced: AcceptorRecord;
   /** Called once the current record is synced. */
   private waiting: (() => void)[] = [];
 
   constructor(
     private current: AcceptorRecord,
     private readonly save: SaveRecord,
-  ) {}
+  ) {
+    this.synced = current;
+  }
 
   /** The newest record, which may not be synced yet. */
   get record(): AcceptorRecord {
@@ -49,6 +53,11 @@
 
   private update(record: AcceptorRecord | undefined, done: () => void): boolean {
     if (record === undefined) return false;
+    // A repeated request changes nothing.
+    if (record === this.synced) {
+      done();
+      return true;
+    }
     this.current = record;
     this.waiting.push(done);
     if (!this.isSaving) this.saveCurrent();
@@ -58,11 +67,12 @@
   /** Writes one record at a time; those that are replaced meanwhile are written as one. */
   private saveCurrent(): void {
     this.isSaving = true;
-    const synced = this.waiting;
+    const { current, waiting } = this;
     this.waiting = [];
-    this.save(this.current, () => {
+    this.save(current, () => {
       this.isSaving = false;
-      for (const done of synced) done();
+      this.synced = current;
+      for (const done of waiting) done();
       if (this.waiting.length > 0 && !this.isSaving) this.saveCurrent();
     });
   }
--- a/src/consensus/formation-peer.ts
+++ b/src/consensus/formation-peer.ts
@@ -35,6 +35,8 @@
   readonly onChosen: (replicas: ReplicaSet) => void;
   /** Called when a ballot of another proposer begins. */
   readonly onOtherBallot: () => void;
+  /** Called when an acceptor, here or elsewhere, has agreed to the ballot under way for the first time. */
+  readonly onProgress: () => void;
 }
 
 export class FormationPeer {
@@ -76,6 +78,7 @@
     acceptor.prepare(proposal.ballot, (accepted) => {
       if (this.isStopped || !isSame(acceptor.record.promised, proposal.ballot)) return;
       this.proposal = onPromise(proposal, acceptor.record, origin, accepted);
+      this.options.onProgress();
       if (this.proposal.phase === 'prepare') this.sendRequests();
       else this.requestAcceptance();
     });
@@ -138,10 +141,12 @@
   private onAccept(message: FormAccept): void {
     const { from, ballot, replicas } = message;
     this.giveWayTo(ballot);
+    const { record } = this;
     const isAccepted = this.acceptor.accept({ ballot, replicas }, () => {
       this.send(from, { type: 'form-accepted', ...this.base(ballot) });
     });
     if (!isAccepted) this.refuse(message);
+    else if (this.record !== record) this.options.onProgress();
   }
 
   /** Ends this replica's own proposal at the first message of a higher ballot. */
@@ -159,6 +164,7 @@
   private onPromise({ from, ballot, accepted }: FormPromise): void {
     const { proposal } = this;
     if (proposal?.phase !== 'prepare' || !isSame(proposal.ballot, ballot)) return;
+    if (!proposal.agreed.includes(from.origin)) this.options.onProgress();
     this.proposal = onPromise(proposal, this.record, from.origin, accepted);
     this.requestAcceptance();
   }
@@ -166,6 +172,7 @@
   private onAccepted({ from, ballot }: Pick<FormAccepted, 'from' | 'ballot'>): void {
     const { proposal } = this;
     if (proposal?.phase !== 'accept' || !isSame(proposal.ballot, ballot)) return;
+    if (!proposal.agreed.includes(from.origin)) this.options.onProgress();
     this.proposal = onAccepted(proposal, this.record, from.origin);
     if (this.proposal.phase === 'chosen') this.options.onChosen(proposal.replicas);
   }
--- a/src/consensus/formation.ts
+++ b/src/consensus/formation.ts
@@ -85,14 +85,18 @@
 
 /** Returns the acceptor's record after a prepare request; undefined if it has promised a higher ballot. */
 export function prepare(record: AcceptorRecord, ballot: Ballot): AcceptorRecord | undefined {
-  if (compareBallots(ballot, record.promised) < 0) return undefined;
-  return { ...record, promised: ballot };
+  const order = compareBallots(ballot, record.promised);
+  if (order < 0) return undefined;
+  return order === 0 ? record : { ...record, promised: ballot };
 }
 
 /** Returns the acceptor's record after an accept request; undefined if it has promised a higher ballot. */
 export function accept(record: AcceptorRecord, accepted: AcceptedSet): AcceptorRecord | undefined {
-  if (compareBallots(accepted.ballot, record.promised) < 0) return undefined;
-  return { ...record, promised: accepted.ballot, accepted };
+  const { ballot } = accepted;
+  if (compareBallots(ballot, record.promised) < 0) return undefined;
+  const before = record.accepted?.ballot;
+  if (before !== undefined && compareBallots(ballot, before) === 0) return record;
+  return { ...record, promised: ballot, accepted };
 }
 
 /**
--- a/src/consensus/proposal-schedule.ts
+++ b/src/consensus/proposal-schedule.ts
@@ -12,6 +12,9 @@
 /** Minimum and random part of the wait for a proposal that is under way, here or elsewhere. */
 const MIN_BACKOFF_TIMEOUTS = 0.25;
 const BACKOFF_SPREAD_TIMEOUTS = 0.5;
+/** Ballots after which the wait doubles with each further one: they take longer than the wait, on slow disks. */
+const BALLOTS_BEFORE_GROWTH = 2;
+const MAX_GROWTH = 16;
 
 /** What is known about the other replicas. */
 export interface FormationView {
@@ -29,6 +32,8 @@
   private allSince: number | undefined;
   /** Time of the next proposal; undefined until there is reason for one. */
   private nextAt: number | undefined;
+  /** Number of ballots seen, here and elsewhere. */
+  private ballots = 0;
 
   constructor(
     private readonly random: RandomSource,
@@ -48,8 +53,14 @@
     return now >= this.nextAt;
   }
 
-  /** Postpones the next proposal, because one has begun. */
-  postpone(now: number): void {
+  /** Postpones the next proposal, because a ballot has begun. */
+  onBallot(now: number): void {
+    this.ballots += 1;
+    this.onProgress(now);
+  }
+
+  /** Postpones the next proposal, because an acceptor has agreed to the ballot under way. */
+  onProgress(now: number): void {
     this.nextAt = now + this.drawBackoffMs();
   }
 
@@ -61,6 +72,7 @@
 
   private drawBackoffMs(): number {
     const timeouts = MIN_BACKOFF_TIMEOUTS + BACKOFF_SPREAD_TIMEOUTS * this.random.next();
-    return this.electionTimeoutMs * timeouts;
+    const growth = 2 ** Math.max(0, this.ballots - BALLOTS_BEFORE_GROWTH);
+    return this.electionTimeoutMs * timeouts * Math.min(growth, MAX_GROWTH);
   }
 }
--- a/src/consensus/replica-bootstrap.ts
+++ b/src/consensus/replica-bootstrap.ts
@@ -72,7 +72,8 @@
       saveRecord,
       transport,
       onChosen: (replicas) => this.onChosen(replicas),
-      onOtherBallot: () => this.schedule.postpone(clock.now()),
+      onOtherBallot: () => this.schedule.onBallot(clock.now()),
+      onProgress: () => this.schedule.onProgress(clock.now()),
     });
   }
 
@@ -172,7 +173,7 @@
       isFirst: known.answering(record, now)[0] === options.self.origin,
     };
     if (!schedule.isDue(view, now)) return;
-    schedule.postpone(now);
+    schedule.onBallot(now);
     peer.propose(known.replicaSet(record));
   }
 
