No request is forwarded behind the last answer of its connection

Callers saw: a closed connection without an answer, where a client had sent its next request on a kept connection before the answer came that ended it. The request had been passed on to a sound target.

Cause: in a planned stop, and where a body is refused, an answer ends its connection. Node.js goes on to parse the requests that follow on it, and drops their responses once the earlier one is written. Ingress and edge forwarded them.

Change: closeAfterResponse() notes the connection, and requests that follow on it are not handled: not forwarded, as the closed connection says.

Evidence: test/programs/requests-behind-close.test.ts, two requests on one connection 0 and 20 ms apart while a sidecar stops, targets that work 60 ms. Before: fails ("first-0, second-0" reach the target, one answer comes); after: passes. Where the client itself asks for the end, Node.js's parser refuses what follows. Edges: by reading, the same two calls.

--- a/src/edge/edge-server.ts
+++ b/src/edge/edge-server.ts
@@ -11,6 +11,7 @@
   type BodyRefusalReason,
 } from '../http/caller-exchange.js';
 import { writeRefusal } from '../http/caller-response.js';
+import { closeAfterResponse, isBehindLastResponse } from '../http/closing-connections.js';
 import type { BodyLimits, RequestBody } from '../http/request-body.js';
 import { NodeTransport, type NodeTransportOptions } from '../http/node-transport.js';
 import type { Group, PolicyTable, RequestKind } from '../policy/policy-table.js';
@@ -67,8 +68,9 @@
 
   /** Handles one client request. */
   readonly handle = (message: IncomingMessage, response: ServerResponse): void => {
+    if (isBehindLastResponse(message)) return;
     const requestId = newTraceId();
-    if (this.options.stop.phase !== StopPhase.Running) response.shouldKeepAlive = false;
+    if (this.options.stop.phase !== StopPhase.Running) closeAfterResponse(response);
     const table = this.options.table();
     if (table === undefined) {
       this.refuseEarly(response, requestId, 'not-ready', 'No policy has been received yet.');
--- a/src/ingress/ingress-exchange.ts
+++ b/src/ingress/ingress-exchange.ts
@@ -15,6 +15,7 @@
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
 import { CallerExchange, type BodyRefusalReason } from '../http/caller-exchange.js';
+import { closeAfterResponse } from '../http/closing-connections.js';
 import type { BodyLimits, RequestBody } from '../http/request-body.js';
 import { parseDeadlineMs, headerValue } from '../http/target-headers.js';
 import { PeerTransport, type PeerTransportOptions } from '../link/peer-transport.js';
@@ -123,7 +124,7 @@
 
   protected override onBodyRefused(reason: BodyRefusalReason): void {
     // Otherwise the rest of the body would be parsed as the next request.
-    this.response.shouldKeepAlive = false;
+    closeAfterResponse(this.response);
     this.refuse(decideOnBody(reason).refusal);
   }
 
--- a/src/ingress/ingress-server.ts
+++ b/src/ingress/ingress-server.ts
@@ -11,6 +11,7 @@
 import { StopPhase } from '../call/stop-phase.js';
 import { HttpStatus } from '../common/http-status.js';
 import { writeRefusal } from '../http/caller-response.js';
+import { closeAfterResponse, isBehindLastResponse } from '../http/closing-connections.js';
 import { headerValue } from '../http/target-headers.js';
 import type { PolicyTable } from '../policy/policy-table.js';
 import {
@@ -47,8 +48,9 @@
   }
 
   readonly handle = (message: IncomingMessage, response: ServerResponse): void => {
+    if (isBehindLastResponse(message)) return;
     response.sendDate = false;
-    if (this.options.stop.phase !== StopPhase.Running) response.shouldKeepAlive = false;
+    if (this.options.stop.phase !== StopPhase.Running) closeAfterResponse(response);
     const decision = this.decide(message);
     switch (decision.type) {
       case 'refused':
@@ -107,6 +109,7 @@
 }
 
 function refuseLargeHeaders(response: ServerResponse): void {
+  closeAfterResponse(response);
   response.writeHead(HttpStatus.HeadersTooLarge, { 'Content-Length': 0, Connection: 'close' });
   response.end();
 }
--- a/test/support/calling-targets.ts
+++ b/test/support/calling-targets.ts
@@ -39,6 +39,8 @@
 export class CallingTargets {
   readonly calls: MadeCall[] = [];
   readonly arrived = new Set<string>();
+  /** Ids of the requests that reached the front target. */
+  readonly arrivedAtFront = new Set<string>();
   /** Number of calls that the front target makes per request. */
   callsPerRun = 1;
   backWork: BackWork = () => Promise.resolve();
@@ -174,6 +176,7 @@
 
   private async run(message: IncomingMessage, response: ServerResponse): Promise<void> {
     message.resume();
+    this.arrivedAtFront.add(String(message.headers['x-request-id']));
     for (let call = 0; call < this.callsPerRun; call += 1) {
       if (response.destroyed && !this.outlivesCaller) return;
       const { status } = await this.call();
