A learner becomes an additional voter only while the voters could do without it

Two of four voters are no majority, and no leader is there any more, where three voters would have kept two.

Cause: a promotion raises the majority from two to three at once, and counted every replica as present that had been heard within three election timeouts. Now the learner and as many voters as the larger set needs must have answered one of the last heartbeats; a voter that stays silent is replaced instead.

Evidence: both new tests of replica-changes.test.ts fail with the condition taken out.

raft-mechanisms: what was the switch for catching up now also takes this safeguard off, since either of them keeps a cut-off learner from getting a vote; what the test expects is unchanged.

--- a/lab/simulator/replication/raft-mechanisms.ts
+++ b/lab/simulator/replication/raft-mechanisms.ts
@@ -14,7 +14,7 @@
   readonly checkQuorum: boolean;
   /** A majority confirms the leader before a read is served. */
   readonly confirmReads: boolean;
-  /** A learner becomes a voter only once it has caught up. */
+  /** A learner becomes a voter only once it has caught up, and while it answers. */
   readonly catchUpBeforeVote: boolean;
 }
 
@@ -60,5 +60,9 @@
     protected override hasCaughtUp(identity: string): boolean {
       return !mechanisms.catchUpBeforeVote || super.hasCaughtUp(identity);
     }
+
+    protected override isAnswering(identity: string): boolean {
+      return !mechanisms.catchUpBeforeVote || super.isAnswering(identity);
+    }
   };
 }
--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -17,6 +17,8 @@
 
 /** Heartbeats per election timeout, so that a few lost messages don't trigger an election. */
 const HEARTBEATS_PER_TIMEOUT = 5;
+/** Heartbeat intervals within which an answering replica has responded. */
+const ANSWERING_HEARTBEATS = 1.5;
 /** Election timeouts without a response after which a replica counts as unresponsive. Longer than an election. */
 const UNRESPONSIVE_TIMEOUTS = 3;
 
@@ -251,6 +253,7 @@
       nextReplicaChange(state.log.replicas, {
         hasCaughtUp: (identity) => this.hasCaughtUp(identity),
         isUnresponsive: (identity) => this.isUnresponsive(identity),
+        isAnswering: (identity) => this.isAnswering(identity),
         maxVoters: state.options.maxVoters ?? Infinity,
       });
     if (next !== undefined) this.appendReplicas(next);
@@ -266,6 +269,17 @@
     return undefined;
   }
 
+  /** Whether the replica has answered one of the last heartbeats. */
+  protected isAnswering(identity: string): boolean {
+    const { state } = this;
+    const { answeredRound, lastResponseAt } = this.peers.progressOf(identity);
+    const maxAgeMs =
+      (ANSWERING_HEARTBEATS * state.options.electionTimeoutMs) / HEARTBEATS_PER_TIMEOUT;
+    return (
+      identity === state.identity || (answeredRound > 0 && state.now - lastResponseAt <= maxAgeMs)
+    );
+  }
+
   private isUnresponsive(identity: string): boolean {
     const { state } = this;
     const unresponsiveMs = UNRESPONSIVE_TIMEOUTS * state.options.electionTimeoutMs;
--- a/src/consensus/replica-changes.ts
+++ b/src/consensus/replica-changes.ts
@@ -10,6 +10,8 @@
   hasCaughtUp(identity: string): boolean;
   /** Whether the replica has not responded for several election timeouts. */
   isUnresponsive(identity: string): boolean;
+  /** Whether the replica has answered one of the last heartbeats. */
+  isAnswering(identity: string): boolean;
   /** Maximum number of voters. Further learners are promoted only to replace an unresponsive voter. */
   readonly maxVoters: number;
 }
@@ -46,9 +48,8 @@
     if (role !== 'voter' || !observations.hasCaughtUp(identity)) continue;
     if (observations.isUnresponsive(identity)) continue;
     const previousVoter = set.voters.find((voter) => voter.name === name);
-    if (previousVoter === undefined && set.voters.length < observations.maxVoters) {
-      return promote(set, learner);
-    }
+    const isBelowMax = previousVoter === undefined && set.voters.length < observations.maxVoters;
+    if (isBelowMax && mayGrow(set, learner, observations)) return promote(set, learner);
     const replaced =
       previousVoter ?? set.voters.find((voter) => observations.isUnresponsive(voter.identity));
     if (replaced !== undefined && observations.isUnresponsive(replaced.identity)) {
@@ -58,6 +59,22 @@
   return undefined;
 }
 
+/**
+ * Whether the present voters could still form a majority if the learner fell silent as a voter. Otherwise its promotion
+ * could cost the set its majority, where its loss as a learner would not.
+ */
+function mayGrow(
+  { voters }: ReplicaSet,
+  learner: Replica,
+  observations: ReplicaObservations,
+): boolean {
+  const answering = voters.filter(({ identity }) => observations.isAnswering(identity)).length;
+  const majority = Math.floor((voters.length + 1) / 2) + 1;
+  return (
+    observations.isAnswering(learner.identity) && answering >= Math.min(majority, voters.length)
+  );
+}
+
 function promote(set: ReplicaSet, learner: Replica): ReplicaSet {
   return {
     voters: [...set.voters, learner],
--- a/test/consensus/replica-changes.test.ts
+++ b/test/consensus/replica-changes.test.ts
@@ -10,12 +10,19 @@
   return set?.voters.map(({ identity }) => identity);
 }
 
-function decide(voters: Replica[], learner: Replica, unresponsive: string[], maxVoters = 3) {
+function decide(
+  voters: Replica[],
+  learner: Replica,
+  unresponsive: string[],
+  maxVoters = 3,
+  late: string[] = [],
+) {
   return nextReplicaChange(
     { voters, learners: [learner] },
     {
       hasCaughtUp: () => true,
       isUnresponsive: (identity) => unresponsive.includes(identity),
+      isAnswering: (identity) => !unresponsive.includes(identity) && !late.includes(identity),
       maxVoters,
     },
   );
@@ -28,6 +35,18 @@
     expect(names(decide(THREE, replica('d'), [], 5))).to.deep.equal(['a#1', 'b#1', 'c#1', 'd#1']);
   });
 
+  it('adds no fourth voter while one of three is late, as the loss of both would be that of the majority', () => {
+    expect(decide(THREE, replica('d'), [], 5, ['c#1'])).to.equal(undefined);
+    expect(decide(THREE, replica('d'), [], 5, ['d#1'])).to.equal(undefined);
+    const four = [...THREE, replica('d')];
+    expect(names(decide(four, replica('e'), [], 5, ['c#1']))).to.have.length(5);
+    expect(names(decide([replica('a')], replica('b'), [], 5))).to.deep.equal(['a#1', 'b#1']);
+  });
+
+  it('replaces a silent voter rather than adding one beside it', () => {
+    expect(names(decide(THREE, replica('d'), ['c#1'], 5))).to.deep.equal(['a#1', 'b#1']);
+  });
+
   it('lets a learner stand by while all voters are heard', () => {
     expect(decide(THREE, replica('d'), [])).to.equal(undefined);
   });
