An address in use no longer ends a program at once

Operators saw processes end with status 1 (EADDRINUSE) 0.1 to 0.3 s after their start, however soon the port was free: the process before was still ending, or the kernel had given the port to another process's outgoing connection. EADDRNOTAVAIL, before a machine has its addresses, did the same.

listen() now tries again every 250 ms, until 5 s after the program began to listen: more than twice the time after which an address may pass to another process (2 s), a third of the time after which all must serve again (15 s). A program's addresses share that time. Each try is logged with address, setting and code (20 lines at most); the end is a ListenError that names address, setting and reason. Other codes end at once. Settings that name an address twice would have waited for themselves: they are refused with exit 2.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -53,6 +53,15 @@
   },
 });
 
+/** An address could not be bound. */
+export const ListenError = ShoredoorError.subclass('ListenError', {
+  custom: class extends ShoredoorError {
+    override get code(): string {
+      return 'SHOREDOOR_LISTEN';
+    }
+  },
+});
+
 /** Properties of a {@link RequestError}. */
 export interface RequestErrorProps {
   /** HTTP status, or 0 without a response. */
--- a/src/http/listening-server.ts
+++ b/src/http/listening-server.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
 import type { Socket } from 'node:net';
-import { listen, type ListenAddress } from './listen.js';
+import { listen, type ListenAddress, type ListenContext } from './listen.js';
 
 /** Maximum size of a request head, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -63,10 +63,11 @@
     readonly origin: string,
   ) {}
 
-  /** Starts listening. @throws when the address cannot be bound */
+  /** Starts listening. @throws ListenError when the address cannot be bound */
   static async start(
     address: ListenAddress,
     listener: RequestListener,
+    context?: ListenContext,
     limits: ServerLimits = {},
   ): Promise<ListeningServer> {
     const server = createServer(
@@ -81,7 +82,7 @@
       listener,
     );
     server.on('clientError', answerClientError);
-    return new ListeningServer(server, await listen(server, address));
+    return new ListeningServer(server, await listen(server, address, context));
   }
 
   /** Sets the timeouts of requests that begin from now on, in milliseconds. */
--- a/src/link/link-server.ts
+++ b/src/link/link-server.ts
@@ -1,6 +1,6 @@
 /** Accepts link connections from other sidecars and passes their calls to a handler. */
 import { createServer, type Server } from 'node:net';
-import { listen, type ListenAddress } from '../http/listen.js';
+import { listen, type ListenAddress, type ListenContext } from '../http/listen.js';
 import type { LinkCallHandler } from './incoming-link-call.js';
 import { HeartbeatMonitor } from './heartbeat-monitor.js';
 import { ServerLink } from './server-link.js';
@@ -15,14 +15,15 @@
     readonly origin: string,
   ) {}
 
-  /** Starts listening. @throws if the address cannot be bound */
+  /** Starts listening. @throws ListenError if the address cannot be bound */
   static async start(
     address: ListenAddress,
     token: string,
     handler: LinkCallHandler,
+    context?: ListenContext,
   ): Promise<LinkServer> {
     const server = createServer();
-    const started = new LinkServer(server, await listen(server, address));
+    const started = new LinkServer(server, await listen(server, address, context));
     server.on('connection', (socket) => {
       const link: ServerLink = new ServerLink(socket, started.heartbeats, token, handler, () =>
         started.links.delete(link),
--- a/src/observe/admin-server.ts
+++ b/src/observe/admin-server.ts
@@ -1,12 +1,13 @@
 /** The admin server of a program, with `/metrics`, `/healthz` and `/readyz`. Metrics are collected on each scrape. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { Registry, collectDefaultMetrics } from 'prom-client';
-import type { ListenAddress } from '../http/listen.js';
+import type { ListenAddress, ListenContext } from '../http/listen.js';
 import { ListeningServer } from '../http/listening-server.js';
 
 /** Options of an admin server. */
 export interface AdminOptions {
   readonly address: ListenAddress;
+  readonly context: ListenContext;
   readonly registry: Registry;
   /** Reports whether the program accepts work, and the reason if it does not. */
   readonly readiness: () => ReadinessReport;
@@ -33,9 +34,10 @@
 
 /** Starts the admin server of a program. */
 export async function startAdminServer(options: AdminOptions): Promise<ListeningServer> {
-  return ListeningServer.start(options.address, (message, response) => {
+  const handle: RequestListener = (message, response) => {
     void handleAdminRequest(options, message, response);
-  });
+  };
+  return ListeningServer.start(options.address, handle, options.context);
 }
 
 async function handleAdminRequest(
--- a/src/programs/control-program.ts
+++ b/src/programs/control-program.ts
@@ -2,7 +2,9 @@
  * `shoredoor control`: one replica of the configuration store, with the APIs for operators and followers. The store is
  * persisted in the data folder; members are kept in memory only and are rebuilt from heartbeats after a restart.
  */
+import type { RequestListener } from 'node:http';
 import type { Logger } from '../common/logger.js';
+import { listenContexts } from '../http/listen.js';
 import { ListeningServer } from '../http/listening-server.js';
 import { createMetricsRegistry, startAdminServer } from '../observe/admin-server.js';
 import { registerControlMetrics } from '../observe/control-metrics.js';
@@ -56,18 +58,21 @@
 
 async function startServers(parts: ControlParts): Promise<ControlServers> {
   const { settings, logger, handlers, store, notifier, log } = parts;
-  const listen = await ListeningServer.start(settings.listen, (message, response) => {
+  const contextOf = listenContexts(logger);
+  const handle: RequestListener = (message, response) => {
     handlerFor(message.url ?? '', handlers)
       .handle(message, response)
       .catch((error: unknown) => {
         logger.error('A request failed.', { error: String(error) });
         response.destroy();
       });
-  });
+  };
+  const listen = await ListeningServer.start(settings.listen, handle, contextOf('listen'));
   const registry = createMetricsRegistry();
   registerControlMetrics(registry, store, notifier);
   const admin = await startAdminServer({
     address: settings.admin,
+    context: contextOf('admin'),
     registry,
     readiness: () => {
       const { problem } = log.status();
--- a/src/programs/edge-program.ts
+++ b/src/programs/edge-program.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationView } from '../follower/configuration-view.js';
 import type { Follower } from '../follower/follower.js';
 import { ConnectionPools } from '../http/connection-pools.js';
+import { listenContexts } from '../http/listen.js';
 import { ListeningServer } from '../http/listening-server.js';
 import { createMetricsRegistry, startAdminServer } from '../observe/admin-server.js';
 import { registerCallMetrics } from '../observe/call-metrics.js';
@@ -99,12 +100,15 @@
 }
 
 async function startServers(parts: EdgeParts): Promise<EdgeServers> {
-  const { settings, stats, stop, follower } = parts;
-  const listen = await ListeningServer.start(settings.listen, createServer(parts).handle);
+  const { settings, logger, stats, stop, follower } = parts;
+  const contextOf = listenContexts(logger);
+  const { handle } = createServer(parts);
+  const listen = await ListeningServer.start(settings.listen, handle, contextOf('listen'));
   const registry = createMetricsRegistry();
   registerCallMetrics(registry, stats, 'edge');
   const admin = await startAdminServer({
     address: settings.admin,
+    context: contextOf('admin'),
     registry,
     readiness: () =>
       followerReadiness(stop.phase !== StopPhase.Running, follower, {
--- a/src/programs/node-program.ts
+++ b/src/programs/node-program.ts
@@ -5,6 +5,7 @@
 import type { Registry } from 'prom-client';
 import { waitUntilAllIdle } from '../call/call-stats.js';
 import type { Logger } from '../common/logger.js';
+import { listenContexts } from '../http/listen.js';
 import { ListeningServer } from '../http/listening-server.js';
 import { NodeInboundServer } from '../node/node-inbound-server.js';
 import { NodeOutboundServer } from '../node/node-outbound-server.js';
@@ -42,11 +43,21 @@
 }
 
 async function startServers(parts: NodeParts): Promise<NodeServers> {
-  const { settings, leavingState, follower } = parts;
-  const inbound = await ListeningServer.start(settings.inbound, createInbound(parts).handle);
-  const outbound = await ListeningServer.start(settings.outbound, createOutbound(parts).handle);
+  const { settings, logger, leavingState, follower } = parts;
+  const contextOf = listenContexts(logger);
+  const inbound = await ListeningServer.start(
+    settings.inbound,
+    createInbound(parts).handle,
+    contextOf('inbound'),
+  );
+  const outbound = await ListeningServer.start(
+    settings.outbound,
+    createOutbound(parts).handle,
+    contextOf('outbound'),
+  );
   const admin = await startAdminServer({
     address: settings.admin,
+    context: contextOf('admin'),
     registry: createMetrics(parts),
     readiness: () =>
       followerReadiness(leavingState.isLeaving, follower, {
--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -2,6 +2,7 @@
 import type { Registry } from 'prom-client';
 import { StopPhase } from '../call/stop-phase.js';
 import type { GateServer } from '../gate/gate-server.js';
+import { listenContexts } from '../http/listen.js';
 import { ListeningServer } from '../http/listening-server.js';
 import type { IngressServer } from '../ingress/ingress-server.js';
 import { LinkServer } from '../link/link-server.js';
@@ -37,17 +38,30 @@
 
 /** Starts the servers. The admin server is last, so that all others listen once probes succeed. */
 export async function startSidecarServers(parts: SidecarParts): Promise<SidecarServers> {
-  const { settings } = parts;
+  const { settings, logger } = parts;
+  const contextOf = listenContexts(logger);
   const gate = createGate(parts);
   const ingress = createIngress(parts);
-  const inbound = await LinkServer.start(settings.inbound, settings.linkToken, gate.handle);
-  const outbound = await ListeningServer.start(settings.outbound, ingress.handle, {
-    maxHeaderBytes: MAX_HEADER_BYTES,
-  });
-  const { handle } = createRegistration(parts);
-  const registration = await ListeningServer.start(settings.registration, handle);
+  const inbound = await LinkServer.start(
+    settings.inbound,
+    settings.linkToken,
+    gate.handle,
+    contextOf('inbound'),
+  );
+  const outbound = await ListeningServer.start(
+    settings.outbound,
+    ingress.handle,
+    contextOf('outbound'),
+    { maxHeaderBytes: MAX_HEADER_BYTES },
+  );
+  const registration = await ListeningServer.start(
+    settings.registration,
+    createRegistration(parts).handle,
+    contextOf('registration'),
+  );
   const admin = await startAdminServer({
     address: settings.admin,
+    context: contextOf('admin'),
     registry: createMetrics(parts),
     readiness: () =>
       followerReadiness(parts.stopProgress.phase !== StopPhase.Running, parts.follower, {
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -1,7 +1,13 @@
 /** Schema of the settings of `shoredoor control`. */
 import { z } from 'zod';
 import { nameSchema } from '../policy/resource-schema.js';
-import { commonShape, listenSchema, originSchema, quotaRuleSchema } from './shared-settings.js';
+import {
+  commonShape,
+  listenSchema,
+  originSchema,
+  quotaRuleSchema,
+  requireDistinctAddresses,
+} from './shared-settings.js';
 
 /** Minimum time without a leader before an election, in milliseconds. */
 const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
@@ -86,6 +92,7 @@
   .refine(({ replicas, id }) => replicas?.some((replica) => replica.id === id) ?? true, {
     path: ['replicas'],
     message: 'must include the replica whose settings these are',
-  });
+  })
+  .superRefine(requireDistinctAddresses('listen', 'admin'));
 
 export type ControlSettings = z.infer<typeof controlSettingsSchema>;
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -1,9 +1,14 @@
 /** Schema of the settings of `shoredoor node`. */
 import { z } from 'zod';
 import { nameSchema } from '../policy/resource-schema.js';
-import { followerShape, listenSchema, originSchema } from './shared-settings.js';
+import {
+  followerShape,
+  listenSchema,
+  originSchema,
+  requireDistinctAddresses,
+} from './shared-settings.js';
 
-export const nodeSettingsSchema = z.strictObject({
+const nodeFieldsSchema = z.strictObject({
   ...followerShape,
   service: nameSchema,
   /** Address for edges and other nodes. */
@@ -16,4 +21,8 @@
   target: z.strictObject({ origin: originSchema }),
 });
 
+export const nodeSettingsSchema = nodeFieldsSchema.superRefine(
+  requireDistinctAddresses('inbound', 'outbound', 'admin'),
+);
+
 export type NodeSettings = z.infer<typeof nodeSettingsSchema>;
--- a/src/settings/shared-settings.ts
+++ b/src/settings/shared-settings.ts
@@ -2,6 +2,7 @@
  * Settings schemas shared by several programs. Deployed files depend on their names, forms and defaults, so these must not
  * change (checked in test/settings).
  */
+import { isIPv4 } from 'node:net';
 import { z } from 'zod';
 import { LOG_LEVELS } from '../common/logger.js';
 import { nameSchema } from '../policy/resource-schema.js';
@@ -47,6 +48,30 @@
   }),
 );
 
+/** An address to listen on, as parsed. */
+type ListenSetting = z.infer<typeof listenSchema>;
+
+/** Whether binding the first host also binds the second one. */
+function covers(host: string, other: string): boolean {
+  return host === other || host === '::' || (host === '0.0.0.0' && isIPv4(other));
+}
+
+function overlaps(one: ListenSetting, other: ListenSetting): boolean {
+  if (one.port === 0 || one.port !== other.port) return false;
+  return covers(one.host, other.host) || covers(other.host, one.host);
+}
+
+/** Refinement of a schema: refuses settings that name the same address twice. */
+export function requireDistinctAddresses<Name extends string>(...names: readonly Name[]) {
+  return (settings: Readonly<Record<Name, ListenSetting>>, context: z.RefinementCtx): void => {
+    names.forEach((name, index) => {
+      const same = names.slice(0, index).find((other) => overlaps(settings[name], settings[other]));
+      if (same === undefined) return;
+      context.addIssue({ code: 'custom', path: [name], message: `has the address of '${same}'` });
+    });
+  };
+}
+
 const linkTokenSchema = z
   .string()
   .min(MIN_TOKEN_LENGTH, `must have at least ${MIN_TOKEN_LENGTH} characters`);
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -1,7 +1,13 @@
 /** Schema of the settings of `shoredoor sidecar`. */
 import { z } from 'zod';
 import { nameSchema } from '../policy/resource-schema.js';
-import { followerShape, listenSchema, originSchema, quotaRuleSchema } from './shared-settings.js';
+import {
+  followerShape,
+  listenSchema,
+  originSchema,
+  quotaRuleSchema,
+  requireDistinctAddresses,
+} from './shared-settings.js';
 
 /** Allowed repeats (attempts after one that may have arrived) at a service, as a fraction of its first arrivals. */
 const DEFAULT_RETRY_RATIO = 0.2;
@@ -18,7 +24,7 @@
 /** Time after which a target that has not reported is no longer used, in milliseconds. */
 const DEFAULT_TARGET_SILENT_MS = 6_000;
 
-export const sidecarSettingsSchema = z.strictObject({
+const sidecarFieldsSchema = z.strictObject({
   ...followerShape,
   /** Service of this machine; sent to the targets of calls that originate here. */
   service: nameSchema,
@@ -68,4 +74,8 @@
     .default(DEFAULT_RETRY_BOUND),
 });
 
+export const sidecarSettingsSchema = sidecarFieldsSchema.superRefine(
+  requireDistinctAddresses('inbound', 'outbound', 'registration', 'admin'),
+);
+
 export type SidecarSettings = z.infer<typeof sidecarSettingsSchema>;
