A connection that cannot be accepted no longer ends a process

A server emits 'error' for each accept that fails (ENFILE, ENOBUFS, EMFILE where libuv cannot shed the connection); listen() left no listener after the start apart from the one that rejects its promise, which is used up by the first error. A second one was an uncaught exception: the process ended with status 1 and no log line. Not seen on users' machines, as far as is known.

listen() now leaves a listener for the life of each server, of all programs. It logs the error with the setting of its address, a line a second at most, with the number left out. Node.js accepts the next connections as before.

Evidence: the result of accept is handed to the server's handle as libuv does. The four cases of test/http/listen.test.ts (ENFILE, EMFILE, ECONNABORTED, ENOBUFS) fail without the listener, with the uncaught error, and pass with it, a connection accepted afterwards included.

--- a/src/http/listen.ts
+++ b/src/http/listen.ts
@@ -7,6 +7,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { ListenError } from '../common/errors.js';
 import { type Logger, SILENT_LOGGER } from '../common/logger.js';
+import { MS_PER_SECOND } from '../common/units.js';
 
 /**
  * Time for which an address is retried, in milliseconds. Longer than a former process takes to end, and short enough that a
@@ -17,6 +18,9 @@
 const BIND_RETRY_MS = 250;
 /** Errors that may go away without a change of the settings. */
 const RETRIED_CODES: readonly string[] = ['EADDRINUSE', 'EADDRNOTAVAIL'];
+/** Minimum time between log lines about errors of a listening server, in milliseconds. */
+const ERROR_LINE_INTERVAL_MS = MS_PER_SECOND;
+
 /** Address to listen on. Port 0 selects any free port. */
 export interface ListenAddress {
   readonly host: string;
@@ -45,7 +49,7 @@
 const NO_RETRY: ListenContext = { setting: '', logger: SILENT_LOGGER, retryUntil: -Infinity };
 
 /**
- * Starts listening.
+ * Starts listening. From then on errors of the server, such as those of `accept`, are logged.
  * @returns its origin, `http://ADDRESS:PORT`
  * @throws ListenError when the address cannot be bound
  */
@@ -55,6 +59,7 @@
   context: ListenContext = NO_RETRY,
 ): Promise<string> {
   while (!(await tryToBind(server, address, context))) await delay(BIND_RETRY_MS);
+  server.on('error', new ServerErrorLog(context).onError);
   const bound = server.address() as AddressInfo;
   const host = bound.family === 'IPv6' ? `[${bound.address}]` : bound.address;
   return `http://${host}:${bound.port}`;
@@ -80,3 +85,24 @@
     return false;
   }
 }
+
+/** Logs errors of a listening server, at a limited rate. The server accepts connections afterwards as before. */
+class ServerErrorLog {
+  private lastLineAt = -Infinity;
+  private suppressed = 0;
+
+  constructor(private readonly context: ListenContext) {}
+
+  readonly onError = (error: Error): void => {
+    const now = performance.now();
+    if (now - this.lastLineAt < ERROR_LINE_INTERVAL_MS) {
+      this.suppressed += 1;
+      return;
+    }
+    const { setting, logger } = this.context;
+    const { suppressed } = this;
+    logger.error('A listening server failed.', { setting, error: String(error), suppressed });
+    this.lastLineAt = now;
+    this.suppressed = 0;
+  };
+}
--- a/test/http/listen.test.ts
+++ b/test/http/listen.test.ts
@@ -1,11 +1,21 @@
 /** Guards against processes that end because of an error of a server that listens or is about to. */
 import { expect } from 'chai';
-import { createServer, Server } from 'node:net';
+import { once } from 'node:events';
+import { connect, createServer, Server, type AddressInfo } from 'node:net';
 import { ListenError } from '../../src/common/errors.js';
 import { listen, listenContexts } from '../../src/http/listen.js';
 import { CapturedLines } from '../support/captured-lines.js';
 
 const ADDRESS = { host: '192.0.2.1', port: 4_000 };
+const ANY_PORT = { host: '127.0.0.1', port: 0 };
+/** Errors with which `accept` fails, negated as the system reports them. */
+const ACCEPT_ERRORS = { ENFILE: -23, EMFILE: -24, ECONNABORTED: -103, ENOBUFS: -105 };
+
+/** The internal handle of a server, through which Node.js reports the result of `accept`. */
+interface ListeningHandle {
+  readonly _handle: { onconnection(error: number): void };
+}
+
 /** A server whose first tries to listen fail with `code`. */
 class FailingServer extends Server {
   tries = 0;
@@ -40,6 +50,24 @@
     server.close();
   });
 
+  for (const [code, error] of Object.entries(ACCEPT_ERRORS)) {
+    it(`goes on, and logs it once a second, when a connection cannot be accepted: ${code}`, async () => {
+      const context = listenContexts(captured.logger)('inbound');
+      await listen(server, ANY_PORT, context);
+      for (let times = 0; times < 10; times += 1) {
+        (server as unknown as ListeningHandle)._handle.onconnection(error);
+      }
+      const [line, ...more] = captured.of('program: A listening server failed.');
+      expect(line).to.include({ level: 50, setting: 'inbound', suppressed: 0 });
+      expect(line?.error).to.contain(code);
+      expect(more).to.deep.equal([]);
+      const accepted = once(server, 'connection');
+      const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+      await accepted;
+      client.destroy();
+    });
+  }
+
   it('waits for an address that appears late', async () => {
     server = new FailingServer('EADDRNOTAVAIL', 2);
     await listen(server, ADDRESS, listenContexts(captured.logger)('admin'));
