Soak of starts: ports are reserved until their processes start

Not traced which process had the port: probed ports were free for up to 3 s until the start, and other runs on this machine draw from the same range. The run holds each port now until just before the start.

--- a/lab/soak/start-fleet.ts
+++ b/lab/soak/start-fleet.ts
@@ -36,7 +36,7 @@
     private readonly workDir: string,
   ) {}
 
-  /** Allocates the addresses; starts no process. */
+  /** Allocates the addresses and reserves them until the processes are started. */
   static async create(
     plan: StartPlan,
     programs: BundledPrograms,
@@ -49,6 +49,7 @@
     for (const service of plan.services) {
       for (let each = 0; each < service.machines; each += 1) await fleet.addMachine(service, seeds);
     }
+    await Promise.all(fleet.processes.map((process) => process.reservePorts()));
     return fleet;
   }
 
@@ -65,7 +66,7 @@
     const id = `control-${this.replicas.length}`;
     const dataDir = join(this.workDir, id);
     const { replicas: voters } = this.plan;
-    const process = this.createProcess(id, 'control', port, (bootstrap) =>
+    const process = this.createProcess(id, 'control', [port], (bootstrap) =>
       controlSettings({ port, seeds, bootstrap, voters, dataDir }),
     );
     this.replicas.push({ process, origin: originOf(port) });
@@ -77,7 +78,8 @@
     const [inbound = 0, outbound = 0, registration = 0, target = 0] = ports;
     const place = { service, inbound, outbound, registration, target, control };
     const settings = sidecarSettings({ ...place, advertise: originOf(inbound) });
-    const process = this.createProcess(`sidecar-${index}`, 'sidecar', inbound, () => settings);
+    const listen = [inbound, outbound, registration];
+    const process = this.createProcess(`sidecar-${index}`, 'sidecar', listen, () => settings);
     this.machines.push({
       index,
       service,
@@ -92,7 +94,7 @@
   private createProcess(
     id: string,
     program: 'control' | 'sidecar',
-    port: number,
+    ports: readonly number[],
     settings: (isFirst: boolean) => object,
   ): SupervisedProcess {
     const { programs, workDir, plan } = this;
@@ -102,7 +104,7 @@
       programs,
       workDir,
       start: plan.starts[this.processes.length]!,
-      port,
+      ports,
       settings: (isFirst) => ({ ...commonSettings(id), ...settings(isFirst) }),
     });
   }
--- a/lab/soak/supervised-process.ts
+++ b/lab/soak/supervised-process.ts
@@ -2,11 +2,11 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { closeSync, fstatSync, openSync, readFileSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { join } from 'node:path';
 import { stringify } from 'yaml';
 import { ENGINE_FLAGS } from '../../scripts/engine.js';
 import type { BundledPrograms } from './bundled-programs.js';
+import { HeldPort } from './held-port.js';
 import { GRACE_MS } from './soak-settings.js';
 import {
   LogOutput,
@@ -21,8 +21,8 @@
   readonly programs: BundledPrograms;
   readonly workDir: string;
   readonly start: PlannedStart;
-  /** Port that another process may hold at the start. */
-  readonly port: number;
+  /** Ports that it listens on. Another process may hold the first one at the start. */
+  readonly ports: readonly number[];
   /** Settings. @param isFirst whether the process has not been started before */
   readonly settings: (isFirst: boolean) => object;
 }
@@ -56,6 +56,8 @@
   private starts = 0;
   /** Length of the log at the start of the process, in bytes. */
   private logLength = 0;
+  /** Its ports, until it is started: other runs on this machine must not take them. */
+  private heldPorts: HeldPort[] = [];
   private isAddressHeld = false;
   private isShutDown = false;
   private restart: Promise<void> = Promise.resolve();
@@ -70,19 +72,30 @@
     return this.child !== undefined && !hasEnded(this.child);
   }
 
+  /** Reserves its ports until the first start. */
+  async reservePorts(): Promise<void> {
+    this.heldPorts = await Promise.all(this.options.ports.map((port) => HeldPort.hold(port)));
+  }
+
   /** Starts the process and lets its planned troubles pass. Resolves when they are over and it has been restarted. */
   async runPlan(): Promise<void> {
     const { delayMs, signals, addressHeldMs } = this.options.start;
     await pause(delayMs);
-    const release = addressHeldMs > 0 ? await this.holdAddress() : undefined;
+    this.isAddressHeld = addressHeldMs > 0;
+    await this.releasePorts(this.isAddressHeld ? 1 : 0);
     this.startChild();
     const from = this.startedAt;
-    const held = pause(addressHeldMs).then(release);
+    const free = pause(addressHeldMs).then(() => this.releasePorts(0));
     for (const signal of signals) await this.sendAt(signal, from);
-    await held;
+    await free;
     await this.waitForRestart();
   }
 
+  private async releasePorts(from: number): Promise<void> {
+    await Promise.all(this.heldPorts.slice(from).map((port) => port.release()));
+    this.isAddressHeld &&= from > 0;
+  }
+
   /** Waits until a process that got a signal has ended, unless it handles the signal and goes on, and has been restarted. */
   private async waitForRestart(): Promise<void> {
     const { child } = this;
@@ -96,6 +109,7 @@
   /** Kills the process, which is not restarted. */
   async end(): Promise<void> {
     this.isShutDown = true;
+    await this.releasePorts(0);
     await this.restart;
     if (this.child === undefined || hasEnded(this.child)) return;
     const ended = once(this.child, 'exit');
@@ -103,16 +117,6 @@
     await ended;
   }
 
-  private async holdAddress(): Promise<() => void> {
-    const holder = createServer();
-    await once(holder.listen(this.options.port, '127.0.0.1'), 'listening');
-    this.isAddressHeld = true;
-    return () => {
-      holder.close();
-      this.isAddressHeld = false;
-    };
-  }
-
   private startChild(): void {
     const { id, program, programs, workDir, settings } = this.options;
     const file = join(workDir, `${id}.yaml`);
