--- a/lab/soak/soak-target.ts
+++ b/lab/soak/soak-target.ts
@@ -4,11 +4,10 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { request } from 'undici';
 import type { RandomSource } from '../../src/common/random.js';
 import { DEFAULT_TARGET_HEADERS } from '../../src/http/target-headers.js';
 import { CALLS_DEADLY_PREFIX, DEADLY_PREFIX } from './deadly-client.js';
-import { failedExchange, readResponse, type ExchangeResult } from './exchange-result.js';
+import { NestedCalls } from './nested-calls.js';
 import { HEALTH_PATH } from './soak-operator.js';
 import { answerBody } from './request-outcome.js';
 import type { SoakRecord } from './soak-record.js';
@@ -39,7 +38,7 @@
 }
 
 /** A request that a target is running. */
-interface TargetRun {
+export interface TargetRun {
   readonly id: string;
   readonly isRepeat: boolean;
   readonly response: ServerResponse;
@@ -78,14 +77,16 @@
   /** Rate limit that it announces, in requests a second. */
   private rateLimit: number | undefined;
   private isLeaving = false;
-  private nextNested = 0;
   private readonly sockets = new Set<Socket>();
+  private readonly calls: NestedCalls;
 
   private constructor(
     private readonly context: TargetContext,
     private readonly options: TargetOptions,
     private readonly server: Server,
-  ) {}
+  ) {
+    this.calls = new NestedCalls(context, options);
+  }
 
   static async start(context: TargetContext, options: TargetOptions): Promise<SoakTarget> {
     const server = createServer();
@@ -237,7 +238,7 @@
     const partMs = (workMs * this.misbehaviour.slowdownFactor) / (calls + 1);
     if (!(await this.work(partMs, run))) return STATUS_TOO_LATE;
     for (let call = 0; call < calls && !run.response.destroyed; call += 1) {
-      if (!(await this.callNext(run))) return STATUS_FAILED;
+      if (!(await this.calls.callNext(run, this.instance))) return STATUS_FAILED;
       if (!(await this.work(partMs, run))) return STATUS_TOO_LATE;
     }
     return STATUS_OK;
@@ -249,50 +250,6 @@
     await new Promise((resolve) => setTimeout(resolve, Math.min(durationMs, leftMs)));
     return durationMs < leftMs;
   }
-
-  /** @returns whether the call to the next service succeeded */
-  private async callNext({
-    id: parent,
-    isRepeat,
-    deadlineAt,
-    callSegment,
-  }: TargetRun): Promise<boolean> {
-    const { record, repeatedIds, now, nestedDeadlineMs } = this.context;
-    const { machine } = this.options;
-    const id = `${parent}/${this.instance}-${(this.nextNested += 1)}`;
-    if (isRepeat) repeatedIds.add(id);
-    const sentAt = now();
-    const deadlineMs = Math.max(1, Math.floor(Math.min(deadlineAt - sentAt, nestedDeadlineMs)));
-    const answer = await this.exchange(id, deadlineMs, callSegment);
-    const endedAt = now();
-    const isDeadly = callSegment.startsWith(DEADLY_PREFIX);
-    record.onRequestEnded({
-      ...{ id, machine, isNested: true, isDeadly, deadlineMs, sentAt, endedAt },
-      ...answer,
-    });
-    return answer.status === STATUS_OK;
-  }
-
-  private async exchange(
-    id: string,
-    deadlineMs: number,
-    callSegment: string,
-  ): Promise<ExchangeResult> {
-    const { outboundOrigin, nextPath } = this.options;
-    try {
-      const response = await request(`${outboundOrigin}${nextPath}${callSegment}`, {
-        headers: {
-          host: this.context.host,
-          [HEADERS.requestId]: id,
-          [HEADERS.deadlineMs]: String(deadlineMs),
-        },
-        signal: AbortSignal.timeout(deadlineMs),
-      });
-      return await readResponse(response);
-    } catch (error) {
-      return failedExchange(error);
-    }
-  }
 }
 
 /** Reads a body. @returns its length in bytes; undefined if it is incomplete */
