A control replica waits for a data folder that cannot be used yet

Operators saw a control process end with status 1 when its data folder could not be created or read at the start: a file or a dangling link in its place, a parent that is read-only, a disk that is mounted late.

Cause: ReplicaHost tried again after failed writes only. DiskFiles created the folder in its constructor; reads and opens threw out of start(), out of the callbacks of writes, and, for the first quota grants, out of the wiring.

Now each step of the host that reads, opens or creates the folder takes the way of a failed write: phase 'failed' with the reason, no vote, no promise, again each second. The folder is created with its first files, not before; an unreadable one is never taken for a new one, so the identity stays.

A read-only file system was not tried: it takes a mount.

--- a/lab/simulator/replication/sim-disk.ts
+++ b/lab/simulator/replication/sim-disk.ts
@@ -42,6 +42,7 @@
   mount(): StorageFiles {
     const { incarnation } = this;
     return {
+      createFolder: () => undefined,
       read: (name) => this.synced.get(name),
       replace: (name, bytes, done) => this.replace(incarnation, name, bytes, done),
       openAppend: (name, size) => this.openAppend(incarnation, name, size),
--- a/src/consensus/replica-folder.ts
+++ b/src/consensus/replica-folder.ts
@@ -33,8 +33,12 @@
     return { type: 'found', identity: decodeMessage<string>(payload) };
   }
 
-  /** Writes an empty log, then the identity file, so that an identity without a log shows that the log was lost. */
+  /**
+   * Writes an empty log, then the identity file, so that an identity without a log shows that the log was lost.
+   * @throws StorageError if there is no folder and it cannot be created
+   */
   create(identity: string, done: FileCallback): void {
+    this.files.createFolder();
     LogStorage.create(this.files, (error) => {
       if (error === undefined) this.replace(IDENTITY_FILE, identity, done);
       else done(error);
--- a/src/consensus/replica-host.ts
+++ b/src/consensus/replica-host.ts
@@ -3,6 +3,7 @@
  * {@link RaftNode}, and restarts it from disk after a failed write.
  */
 import type { Clock } from '../common/clock.js';
+import { StorageError } from '../common/errors.js';
 import type { RandomSource } from '../common/random.js';
 import { LogStorage } from '../storage/log-storage.js';
 import type { StorageFiles } from '../storage/storage-files.js';
@@ -48,7 +49,7 @@
   | 'running'
   /** The data folder is corrupted. The replica neither votes nor stores entries. */
   | 'damaged'
-  /** A write or sync failed. The replica neither votes nor stores entries until writes succeed again. */
+  /** The data folder cannot be read or written. The replica neither votes nor stores entries until it can be again. */
   | 'failed'
   | 'stopped';
 
@@ -94,10 +95,12 @@
 
   start(): void {
     this.emptyState ??= this.options.stateMachine.takeSnapshot();
-    const found = this.folder.readIdentity();
-    if (found.type === 'none') this.create();
-    else if (found.type === 'damaged') this.setPhase('damaged', 'the identity file is damaged');
-    else this.open(found.identity);
+    this.tryStorage(() => {
+      const found = this.folder.readIdentity();
+      if (found.type === 'none') this.create();
+      else if (found.type === 'damaged') this.setPhase('damaged', 'the identity file is damaged');
+      else this.open(found.identity);
+    });
   }
 
   stop(): void {
@@ -137,6 +140,16 @@
     this.options.onPhaseChange?.(phase, problem);
   }
 
+  /** Runs a step that reads or creates the data folder. If it fails, the step is tried again later, as after a failed write. */
+  private tryStorage(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      if (!(error instanceof StorageError)) throw error;
+      this.fail(error);
+    }
+  }
+
   private fail(error: Error): void {
     const cause = error.cause instanceof Error ? ` ${error.cause.message}` : '';
     this.setPhase('failed', `${error.message}${cause}`);
@@ -155,13 +168,15 @@
     this.node = undefined;
     this.storage?.close();
     this.storage = undefined;
-    if (!this.folder.isCreated) {
-      this.create();
-      return;
-    }
-    LogStorage.rewrite(this.options.files, (error) => {
-      if (error !== undefined) this.fail(error);
-      else this.start();
+    this.tryStorage(() => {
+      if (!this.folder.isCreated) {
+        this.create();
+        return;
+      }
+      LogStorage.rewrite(this.options.files, (error) => {
+        if (error !== undefined) this.fail(error);
+        else this.start();
+      });
     });
   }
 
@@ -169,7 +184,7 @@
     this.setPhase('creating', undefined);
     const identity = this.options.generateIdentity();
     this.folder.create(identity, (error) => {
-      if (error === undefined) this.open(identity);
+      if (error === undefined) this.tryStorage(() => this.open(identity));
       else this.fail(error);
     });
   }
--- a/src/programs/control-parts.ts
+++ b/src/programs/control-parts.ts
@@ -197,8 +197,16 @@
  * data folder has taken part before, whatever its settings still say.
  */
 function grantsKnownSince({ bootstrap, dataDir }: ControlSettings, now: number): number {
-  const isNew = !new ReplicaFolder(new DiskFiles(dataDir)).isCreated;
-  return bootstrap && isNew ? -Infinity : now;
+  return bootstrap && isNewFolder(dataDir) ? -Infinity : now;
+}
+
+function isNewFolder(dataDir: string): boolean {
+  try {
+    return !new ReplicaFolder(new DiskFiles(dataDir)).isCreated;
+  } catch {
+    // A folder that cannot be read now may hold an identity. The replica logs the error.
+    return false;
+  }
 }
 
 function createPlatformListReader(parts: StoreParts): PlatformListReader | undefined {
--- a/src/storage/disk-files.ts
+++ b/src/storage/disk-files.ts
@@ -65,12 +65,13 @@
 }
 
 export class DiskFiles implements StorageFiles {
-  /** Creates the folder if it does not exist. @throws StorageError */
-  constructor(private readonly folder: string) {
+  constructor(private readonly folder: string) {}
+
+  createFolder(): void {
     try {
-      mkdirSync(folder, { recursive: true });
+      mkdirSync(this.folder, { recursive: true });
     } catch (error) {
-      throw storageError(`create the data folder ${folder}`, error);
+      throw storageError(`create the data folder ${this.folder}`, error);
     }
   }
 
--- a/src/storage/log-storage.ts
+++ b/src/storage/log-storage.ts
@@ -184,14 +184,23 @@
     this.snapshot = snapshot;
     const bytes = encodeLog(snapshot, this.hardState, this.entries);
     this.files.replace(LOG_FILE, bytes, (error) => {
-      if (error === undefined && !this.isClosed) {
-        this.file.close();
-        this.file = this.files.openAppend(LOG_FILE, bytes.length);
-      }
-      this.completeWrites([pending], error);
+      this.completeWrites([pending], error ?? this.reopenFile(bytes.length));
     });
   }
 
+  /** Opens the log file that has replaced the former one. @returns the error, if any */
+  private reopenFile(size: number): Error | undefined {
+    if (this.isClosed) return undefined;
+    try {
+      const file = this.files.openAppend(LOG_FILE, size);
+      this.file.close();
+      this.file = file;
+      return undefined;
+    } catch (error) {
+      return error as Error;
+    }
+  }
+
   private completeWrites(pending: readonly PendingWrite[], error: Error | undefined): void {
     this.isWriting = false;
     this.failure ??= error;
--- a/src/storage/storage-files.ts
+++ b/src/storage/storage-files.ts
@@ -15,6 +15,8 @@
 
 /** The files of one data folder. */
 export interface StorageFiles {
+  /** Creates the folder if it does not exist. @throws StorageError */
+  createFolder(): void;
   /** Reads a file synchronously; returns undefined if it does not exist. Only called at startup. */
   read(name: string): Uint8Array | undefined;
   /**
--- a/test/storage/closed-log.test.ts
+++ b/test/storage/closed-log.test.ts
@@ -13,6 +13,10 @@
   readonly faults: string[] = [];
   openCount = 0;
 
+  createFolder(): void {
+    // Files in memory need no folder.
+  }
+
   read(name: string): Uint8Array | undefined {
     return this.contents.get(name);
   }
--- a/test/storage/log-storage.test.ts
+++ b/test/storage/log-storage.test.ts
@@ -11,6 +11,10 @@
   readonly files = new Map<string, Buffer>();
   failing = false;
 
+  createFolder(): void {
+    // Files in memory need no folder.
+  }
+
   read(name: string): Uint8Array | undefined {
     return this.files.get(name);
   }
--- a/test/support/memory-files.ts
+++ b/test/support/memory-files.ts
@@ -4,6 +4,10 @@
 export class MemoryFiles implements StorageFiles {
   readonly files = new Map<string, Buffer>();
 
+  createFolder(): void {
+    // Files in memory need no folder.
+  }
+
   read(name: string): Uint8Array | undefined {
     return this.files.get(name);
   }
