--- a/src/consensus/replica-folder.ts
+++ b/src/consensus/replica-folder.ts
@@ -43,8 +43,10 @@
   /**
    * Writes an empty log, then the acceptor's record, if there is one, then the identity file: an identity without a log
    * shows that the log was lost, and an acceptor has its record before anybody hears of its identity.
+   * @throws StorageError if there is no folder and it cannot be created
    */
   create(identity: string, acceptor: AcceptorRecord | undefined, done: FileCallback): void {
+    this.files.createFolder();
     const writeIdentity = (): void => this.replace(IDENTITY_FILE, identity, done);
     LogStorage.create(this.files, (error) => {
       if (error !== undefined) done(error);
