--- a/src/consensus/formation-acceptor.ts
+++ b/src/consensus/formation-acceptor.ts
@@ -53,19 +53,21 @@
 
   private update(record: AcceptorRecord | undefined, done: () => void): boolean {
     if (record === undefined) return false;
-    // A repeated request changes nothing.
-    if (record === this.synced) {
-      done();
-      return true;
-    }
     this.current = record;
     this.waiting.push(done);
     if (!this.isSaving) this.saveCurrent();
     return true;
   }
 
-  /** Writes one record at a time; those that are replaced meanwhile are written as one. */
+  /**
+   * Writes one record at a time: those that are replaced meanwhile are written as one, and a repeated request, which
+   * changes nothing, causes no write.
+   */
   private saveCurrent(): void {
+    if (this.current === this.synced) {
+      this.callWaiting();
+      return;
+    }
     this.isSaving = true;
     const { current, waiting } = this;
     this.waiting = [];
@@ -76,4 +78,10 @@
       if (this.waiting.length > 0 && !this.isSaving) this.saveCurrent();
     });
   }
+
+  private callWaiting(): void {
+    const { waiting } = this;
+    this.waiting = [];
+    for (const done of waiting) done();
+  }
 }
--- a/src/consensus/formation-peer.ts
+++ b/src/consensus/formation-peer.ts
@@ -45,6 +45,8 @@
   protected proposal: Proposal | undefined;
   /** Highest round that another acceptor has reported. */
   protected highestRound = 0;
+  /** Whether the promise of this replica to its own proposal is being written. */
+  private isStarting = false;
   private mismatch: string | undefined;
   private isStopped = false;
 
@@ -56,6 +58,11 @@
     return this.acceptor.record;
   }
 
+  /** Whether this replica's own proposal is under way. */
+  get isProposing(): boolean {
+    return this.isStarting || (this.proposal !== undefined && this.proposal.phase !== 'chosen');
+  }
+
   /** Another acceptor whose messages don't count, and why; undefined if there is none. */
   get problem(): string | undefined {
     return this.mismatch;
@@ -75,7 +82,9 @@
     const { identity, origin } = this.options.self;
     const proposal = newProposal(acceptor.record, identity, replicas, highestRound);
     this.proposal = undefined;
+    this.isStarting = true;
     acceptor.prepare(proposal.ballot, (accepted) => {
+      this.isStarting = false;
       if (this.isStopped || !isSame(acceptor.record.promised, proposal.ballot)) return;
       this.proposal = onPromise(proposal, acceptor.record, origin, accepted);
       this.options.onProgress();
--- a/src/consensus/proposal-schedule.ts
+++ b/src/consensus/proposal-schedule.ts
@@ -9,12 +9,14 @@
 const SETTLE_TIMEOUTS = 0.25;
 /** Wait for acceptors that don't answer, once a quorum does. */
 const MISSING_ACCEPTOR_TIMEOUTS = 1;
-/** Minimum and random part of the wait for a proposal that is under way, here or elsewhere. */
+/** Minimum and random part of the wait after the last step of a ballot. */
 const MIN_BACKOFF_TIMEOUTS = 0.25;
-const BACKOFF_SPREAD_TIMEOUTS = 0.5;
+const BACKOFF_SPREAD_TIMEOUTS = 0.25;
+/** Added to it for all but the first in order, so that it is not interrupted. */
+const LATER_PROPOSER_TIMEOUTS = 0.75;
 /** Ballots after which the wait doubles with each further one: they take longer than the wait, on slow disks. */
-const BALLOTS_BEFORE_GROWTH = 2;
-const MAX_GROWTH = 16;
+const BALLOTS_BEFORE_GROWTH = 4;
+const MAX_GROWTH = 8;
 
 /** What is known about the other replicas. */
 export interface FormationView {
@@ -23,6 +25,8 @@
   readonly hasAllVoters: boolean;
   /** Whether this replica proposes first: no acceptor that answers has a lower origin. */
   readonly isFirst: boolean;
+  /** Whether a proposal of this replica is under way. */
+  readonly isProposing: boolean;
 }
 
 export class ProposalSchedule {
@@ -30,8 +34,9 @@
   private quorumSince: number | undefined;
   /** Time since which all acceptors are known. */
   private allSince: number | undefined;
-  /** Time of the next proposal; undefined until there is reason for one. */
-  private nextAt: number | undefined;
+  /** Time of the last step of a ballot, or since which there is reason for one; undefined if there is none. */
+  private waitingSince: number | undefined;
+  private drawn = 0;
   /** Number of ballots seen, here and elsewhere. */
   private ballots = 0;
 
@@ -48,9 +53,9 @@
     }
     this.quorumSince ??= now;
     if (view.hasAllAcceptors) this.allSince ??= now;
-    if (!view.hasAllVoters && !this.hasWaited(now)) return false;
-    this.nextAt ??= view.isFirst ? now : now + this.drawBackoffMs();
-    return now >= this.nextAt;
+    if (view.isProposing || (!view.hasAllVoters && !this.hasWaited(now))) return false;
+    if (this.waitingSince === undefined) this.onProgress(now);
+    return now >= this.waitingSince! + this.waitMs(view.isFirst);
   }
 
   /** Postpones the next proposal, because a ballot has begun. */
@@ -61,7 +66,8 @@
 
   /** Postpones the next proposal, because an acceptor has agreed to the ballot under way. */
   onProgress(now: number): void {
-    this.nextAt = now + this.drawBackoffMs();
+    this.waitingSince = now;
+    this.drawn = this.random.next();
   }
 
   private hasWaited(now: number): boolean {
@@ -70,8 +76,10 @@
     return sinceQuorum >= MISSING_ACCEPTOR_TIMEOUTS || sinceAll >= SETTLE_TIMEOUTS;
   }
 
-  private drawBackoffMs(): number {
-    const timeouts = MIN_BACKOFF_TIMEOUTS + BACKOFF_SPREAD_TIMEOUTS * this.random.next();
+  private waitMs(isFirst: boolean): number {
+    if (isFirst && this.ballots === 0) return 0;
+    const order = isFirst ? 0 : LATER_PROPOSER_TIMEOUTS;
+    const timeouts = order + MIN_BACKOFF_TIMEOUTS + BACKOFF_SPREAD_TIMEOUTS * this.drawn;
     const growth = 2 ** Math.max(0, this.ballots - BALLOTS_BEFORE_GROWTH);
     return this.electionTimeoutMs * timeouts * Math.min(growth, MAX_GROWTH);
   }
--- a/src/consensus/replica-bootstrap.ts
+++ b/src/consensus/replica-bootstrap.ts
@@ -171,6 +171,7 @@
       hasAllAcceptors: known.hasAllAcceptors(record),
       hasAllVoters: known.hasAllVoters(record),
       isFirst: known.answering(record, now)[0] === options.self.origin,
+      isProposing: peer.isProposing,
     };
     if (!schedule.isDue(view, now)) return;
     schedule.onBallot(now);
@@ -198,7 +199,7 @@
     const needed = quorum === 'all' ? 'all are needed' : 'a majority is needed';
     const parts = [
       `${answering.length} of ${acceptors.length} replicas that can form the set answer, ${needed}`,
-      `no answer from ${missing.join(', ') || 'none'}`,
+      missing.length === 0 ? undefined : `no answer from ${missing.join(', ')}`,
       this.peer.problem,
     ];
     this.options.onDelayed(parts.filter((part) => part !== undefined).join('; '));
--- a/src/consensus/replica-host.ts
+++ b/src/consensus/replica-host.ts
@@ -30,10 +30,7 @@
   readonly contacts: readonly string[];
   /** Joins an existing replica set instead of forming one, to replace a lost replica or add a new one. */
   readonly join: boolean;
-  /**
-   * Origins of the replicas a majority of which forms the set, at their first start. If undefined, this replica and its
-   * contacts form it, all together.
-   */
+  /** Origins of the replicas a majority of which forms the set. Undefined: this replica and all contacts form it. */
   readonly seeds?: readonly string[] | undefined;
   readonly electionTimeoutMs: number;
   readonly snapshotInterval?: number | undefined;
@@ -62,8 +59,7 @@
   | 'failed'
   | 'stopped';
 
-const NOT_ADDED_PROBLEM =
-  'this replica has no record that lets it form a set, and none has added it';
+const NOT_ADDED = 'this replica has no record that lets it form a set, and none has added it';
 /** Interval of the reports that no replica set has added this replica, in milliseconds. */
 const JOIN_REPORT_MS = 5_000;
 /** Delay before the data folder is reopened after a failed write. */
@@ -296,7 +292,7 @@
   private reportIfNotAdded(node: RaftNode): void {
     this.options.clock.schedule(JOIN_REPORT_MS, () => {
       if (this.node !== node || node.status().replicas.voters.length > 0) return;
-      this.options.onFormationDelayed?.(NOT_ADDED_PROBLEM);
+      this.options.onFormationDelayed?.(NOT_ADDED);
       this.reportIfNotAdded(node);
     });
   }
