--- a/test/programs/endless-answers.test.ts
+++ b/test/programs/endless-answers.test.ts
@@ -10,7 +10,9 @@
 } from '../support/endless-answers.js';
 import { declareFirstSet, startLoneControl } from '../support/lone-control.js';
 import { Cleanup, until } from '../support/processes.js';
-import { answer, ScriptedTarget } from '../support/scripted-target.js';
+import { FRONTS, NODE_GATE, type Front } from '../support/fronts-of-target.js';
+import type { RawRequest } from '../support/raw-exchange.js';
+import { answer, ScriptedTarget, type Script } from '../support/scripted-target.js';
 import { sidecarSettings } from '../support/sidecar-settings.js';
 
 const HOST = 'shop.example';
@@ -22,6 +24,8 @@
 const REPORT_INTERVAL_MS = 500;
 const CALM_INTERVAL_MS = 50;
 const FAILED = [502, 504];
+const ORDER: RawRequest = { method: 'POST', version: '1.1', body: 'with a length' };
+const CALM: RawRequest = { method: 'GET', version: '1.1' };
 /** The connection of the client was closed without a whole answer. */
 const CUT_OFF = 0;
 
@@ -140,3 +144,60 @@
     expect((await sendBesideOthers(ENDLESS_AFTER_ANSWER)).status).to.equal(200);
   });
 });
+
+/** The same for edges and nodes, whose target sends a sound answer to others meanwhile. */
+for (const [name, start] of Object.entries({ ...FRONTS, ...NODE_GATE })) {
+  describe(`a target that sends bytes without end through ${name}`, function () {
+    this.timeout(20_000);
+    const cleanup = new Cleanup();
+    let front: Front;
+
+    before(async () => {
+      front = await start(cleanup, ROUTE_TIMEOUT_MS);
+      await until(async () => (await front.send(CALM)).status === 200);
+    });
+
+    after(() => cleanup.run());
+
+    async function sendBesideCalm(script: Script) {
+      let isClosed = false;
+      front.target.script = (socket, arrived) => {
+        if (arrived.head.startsWith('get')) {
+          socket.write(answer(arrived.id, 'whole'));
+          return;
+        }
+        socket.once('close', () => (isClosed = true));
+        script(socket, arrived);
+      };
+      const calm: Promise<{ status: number }>[] = [];
+      const timer = setInterval(() => calm.push(front.send(CALM)), CALM_INTERVAL_MS);
+      const startedAt = performance.now();
+      const result = await front.send(ORDER);
+      const tookMs = performance.now() - startedAt;
+      await until(() => isClosed);
+      clearInterval(timer);
+      const statuses = (await Promise.all(calm)).map(({ status }) => status);
+      expect(statuses.filter((status) => status !== 200)).to.deep.equal([]);
+      expect(tookMs).to.be.below(ROUTE_TIMEOUT_MS + ANSWER_SLACK_MS);
+      return result;
+    }
+
+    for (const [what, script] of Object.entries(ENDLESS_BEFORE_BODY)) {
+      it(`costs its caller a failure when it sends ${what}, and its connection`, async () => {
+        const { status, looksWhole } = await sendBesideCalm(script);
+        if (name in NODE_GATE && !looksWhole) return;
+        expect(status).to.be.oneOf(FAILED);
+        expect(looksWhole).to.equal(true);
+      });
+    }
+
+    it('cuts its caller off when it sends a body', async () => {
+      expect((await sendBesideCalm(ENDLESS_BODY)).looksWhole).to.equal(false);
+    });
+
+    it('costs its caller nothing when it sends a whole answer first', async () => {
+      const { status, looksWhole } = await sendBesideCalm(ENDLESS_AFTER_ANSWER);
+      expect({ status, looksWhole }).to.deep.equal({ status: 200, looksWhole: true });
+    });
+  });
+}
--- a/test/support/fronts-of-target.ts
+++ b/test/support/fronts-of-target.ts
@@ -23,7 +23,7 @@
 
 const HOST = 'shop.example';
 const REPORT_INTERVAL_MS = 500;
-/** Deadline of the requests, in milliseconds. */
+/** Default deadline of the requests, in milliseconds. */
 export const DEADLINE_MS = 2_000;
 
 /** A way to a target. */
@@ -32,8 +32,8 @@
   send(sent: RawRequest): Promise<RawAnswer>;
 }
 
-/** Starts the programs of one way to a target. */
-export type FrontStart = (cleanup: Cleanup) => Promise<Front>;
+/** Starts the programs of one way to a target. @param deadlineMs of the requests; default {@link DEADLINE_MS} */
+export type FrontStart = (cleanup: Cleanup, deadlineMs?: number) => Promise<Front>;
 
 let nextId = 0;
 
@@ -52,7 +52,7 @@
 }
 
 /** A sidecar: its ingress sends the requests to its own gate. */
-async function startSidecarFront(cleanup: Cleanup): Promise<Front> {
+async function startSidecarFront(cleanup: Cleanup, deadlineMs = DEADLINE_MS): Promise<Front> {
   const target = await startScripted(cleanup);
   const control = await startLoneControl(cleanup);
   const sidecar = await startSidecar(
@@ -64,7 +64,7 @@
   );
   cleanup.add(() => sidecar.stop());
   const place = { host: HOST, pathPrefix: '/front/', semantics: 'once', service: 'front' };
-  const limits = { timeoutMs: DEADLINE_MS, objectiveMs: 1_000, rank: 0, maxTargets: 1 };
+  const limits = { timeoutMs: deadlineMs, objectiveMs: deadlineMs / 2, rank: 0, maxTargets: 1 };
   const resources = [
     { kind: 'Route', name: 'front', spec: { ...place, ...limits } },
     { kind: 'Service', name: 'front', spec: { connections: 8 } },
@@ -86,7 +86,7 @@
   return frontOf(target, sidecar.origins.outbound!, HOST);
 }
 
-function policy(): PolicyResource {
+function policy(deadlineMs: number): PolicyResource {
   const kind = (name: string, method: 'GET' | 'HEAD' | 'POST', service: string) => ({
     name: `${service}-${name}`,
     service,
@@ -94,7 +94,7 @@
     importance: 'normal' as const,
     repeatable: false,
     internal: false,
-    deadlineMs: DEADLINE_MS,
+    deadlineMs,
   });
   return {
     kind: 'Policy',
@@ -112,9 +112,9 @@
   };
 }
 
-async function startEdgeFront(cleanup: Cleanup): Promise<Front> {
+async function startEdgeFront(cleanup: Cleanup, deadlineMs = DEADLINE_MS): Promise<Front> {
   const control = await startTestControl(cleanup);
-  await operatorClient(control).put(policy(), { changeId: 'first' });
+  await operatorClient(control).put(policy(deadlineMs), { changeId: 'first' });
   const target = await startScripted(cleanup);
   await startTestNode(cleanup, control, 'front', `http://${target.address}`);
   const edge = await startTestEdge(cleanup, control);
@@ -123,9 +123,9 @@
 }
 
 /** A node beside another target: that target's calls go through the outgoing side of its node. */
-async function startNodeFront(cleanup: Cleanup): Promise<Front> {
+async function startNodeFront(cleanup: Cleanup, deadlineMs = DEADLINE_MS): Promise<Front> {
   const control = await startTestControl(cleanup);
-  await operatorClient(control).put(policy(), { changeId: 'first' });
+  await operatorClient(control).put(policy(deadlineMs), { changeId: 'first' });
   const target = await startScripted(cleanup);
   await startTestNode(cleanup, control, 'front', `http://${target.address}`);
   const caller = await startTarget(cleanup, (_message, response) => response.end());
@@ -135,9 +135,9 @@
 }
 
 /** The incoming side of a node alone, for callers without a link token. */
-async function startNodeGateFront(cleanup: Cleanup): Promise<Front> {
+async function startNodeGateFront(cleanup: Cleanup, deadlineMs = DEADLINE_MS): Promise<Front> {
   const control = await startTestControl(cleanup);
-  await operatorClient(control).put(policy(), { changeId: 'first' });
+  await operatorClient(control).put(policy(deadlineMs), { changeId: 'first' });
   const target = await startScripted(cleanup);
   const node = await startTestNode(cleanup, control, 'front', `http://${target.address}`);
   await untilReady(node);
--- a/test/support/raw-exchange.ts
+++ b/test/support/raw-exchange.ts
@@ -20,6 +20,8 @@
 const BODY = 'order';
 const INTERIM = /^HTTP\/1\.[01] 1\d\d [^]*?\r\n\r\n/;
 const TIMEOUT_MS = 5_000;
+/** Bytes of an answer that are kept; what follows is read and dropped. */
+const MAX_KEPT_BYTES = 64 * 1024;
 
 /** Sends a request and reads until its answer is whole or its connection ends. */
 export async function exchange(
@@ -47,6 +49,7 @@
     socket.on('error', () => (isReset = true));
     socket.on('close', () => finish(true));
     socket.on('data', (bytes) => {
+      if (text.length > MAX_KEPT_BYTES) return;
       text += bytes.toString('latin1');
       if (judge(text, method, false).looksWhole) finish(false);
     });
