Command line: a failed start ends the process, whatever listens

After an error of a program's command, the process only set its exit code and ended once the event loop was empty. Since the failure counts as the end of the process, a signal would have been ignored by one that a server kept alive. By reading; no such case was seen.

--- a/src/cli/command-line.ts
+++ b/src/cli/command-line.ts
@@ -49,7 +49,10 @@
     }
     await cli.runMatchedCommand();
   } catch (error) {
-    lifecycle?.onFailedStart(error);
     process.exitCode = reportError(error);
+    if (lifecycle === undefined) return;
+    lifecycle.onFailedStart(error);
+    // A server that listens already would keep the process alive.
+    process.exit();
   }
 }
--- a/src/cli/process-log.ts
+++ b/src/cli/process-log.ts
@@ -1,7 +1,7 @@
 /**
  * Log lines about the process itself, in the format of the logger (common/logger.ts), which needs settings and a library that
- * aren't there at the first line, and whose stream may hold back the last one. Lines are written at once, with one system
- * call. A line that can't be written to standard output, or would end up within one that is half written, goes to standard error,
+ * aren't there at the first line, and whose stream may hold back the last one. Lines are written at once, at any log level, with one
+ * system call. A line that can't be written to standard output, or would end up within one that is half written, goes to standard error,
  * and is dropped if that fails too: writing neither throws nor waits for a reader.
  */
 import { writeSync } from 'node:fs';
