Tiny chunks of an answer are merged: a process ran out of heap and ended

Operators saw: an ingress ended by itself (heap limit, "Ineffective mark-compacts near heap limit"), and the requests of all its clients with it, where targets sent bodies without end in tiny chunks and the clients did not read.

Cause: every chunk was relayed by itself, as a frame of the link, a buffer and a write of the response. Windows and buffers count bytes: 64 KiB in chunks of five bytes are 13,000 objects that take many times as much, for each call.

Not changed: chunks that arrive in many turns, and request bodies in tiny chunks.

--- a/src/http/relay-handler.ts
+++ b/src/http/relay-handler.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from 'undici';
 import type { AnswerSink } from './answer-sink.js';
 import type { AnswerHead, Attempt, AttemptListener } from '../call/transport.js';
+import { ChunkMerger } from './chunk-merger.js';
 import { filterEndToEndHeaders, type RawHeaders } from './header-filter.js';
 import { isStatusCode } from '../common/http-status.js';
 
@@ -41,7 +42,12 @@
   written = false;
   private state: State = 'waiting';
   private controller: Dispatcher.DispatchController | undefined;
-  private readonly onDrain = (): void => this.controller?.resume();
+  private readonly chunks = new ChunkMerger((chunk) => this.writeChunk(chunk));
+  private isPaused = false;
+  private readonly onDrain = (): void => {
+    this.isPaused = false;
+    this.controller?.resume();
+  };
 
   constructor(
     private readonly response: AnswerSink,
@@ -58,6 +64,7 @@
     if (this.isFinished) return;
     if (this.state === 'waiting' && this.written) this.policy.onUnanswered?.();
     this.state = 'cancelled';
+    this.chunks.clear();
     this.response.off('drain', this.onDrain);
     this.controller?.abort(ABORT_REASON);
   }
@@ -92,11 +99,8 @@
     this.relayHead(controller, statusCode, headers);
   }
 
-  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.state !== 'relaying') return;
-    if (this.response.write(chunk)) return;
-    controller.pause();
-    this.response.once('drain', this.onDrain);
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.state === 'relaying') this.chunks.add(chunk);
   }
 
   onResponseEnd(): void {
@@ -105,6 +109,7 @@
       return;
     }
     if (this.state === 'relaying') {
+      this.chunks.flush();
       this.state = 'done';
       this.response.end();
       this.listener.onEnd();
@@ -125,8 +130,16 @@
     }
   }
 
+  private writeChunk(chunk: Buffer): void {
+    if (this.response.write(chunk) || this.isPaused) return;
+    this.isPaused = true;
+    this.controller?.pause();
+    this.response.once('drain', this.onDrain);
+  }
+
   /** Aborts an incomplete answer, so that the caller does not treat it as complete. */
   private abortResponse(): void {
+    this.chunks.flush();
     this.state = 'done';
     this.response.destroy();
     this.listener.onFailure({ reason: 'broken-answer', written: true });
