Process log: no line within one that the logger has half written; a full standard error ends nothing

Two joints between parts that were written apart. The line of the end looked at process.stdout for unwritten output, but the logger writes by its own LineOutput now: the last line could end up within a line that is half written. The program passes its output to the process log, which writes after what is pending or to standard error. And an output that fails before there is a logger, such as standard error on a full device when the code cache is rejected, raised an uncaught error: status 6 in place of a start (test/cli/launch.test.ts, which failed so without the listener).

--- a/src/cli/process-lifecycle.ts
+++ b/src/cli/process-lifecycle.ts
@@ -19,7 +19,7 @@
   type ProcessEnd,
   type ProcessPhase,
 } from './process-end.js';
-import { processLog } from './process-log.js';
+import { processLog, type SharedOutput } from './process-log.js';
 
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGQUIT'] as const;
 const RELOAD_SIGNAL = 'SIGHUP';
@@ -48,6 +48,8 @@
   /** Installs the handlers and writes the first log line. To be called once in a process. */
   static begin(command: ProcessCommand): ProcessLifecycle {
     const lifecycle = new ProcessLifecycle();
+    // Output that can't be written is no reason to end.
+    for (const stream of [process.stdout, process.stderr]) stream.on('error', () => undefined);
     for (const signal of STOP_SIGNALS) process.on(signal, () => lifecycle.onStopSignal(signal));
     process.on(RELOAD_SIGNAL, () => lifecycle.reload());
     for (const signal of IGNORED_SIGNALS) process.on(signal, () => undefined);
@@ -58,9 +60,14 @@
     return lifecycle;
   }
 
-  /** The settings have been read. @param id names the process in its log lines from now on */
-  onSettings(id: string): void {
+  /**
+   * The settings have been read.
+   * @param id names the process in its log lines from now on
+   * @param output that of the program's logger
+   */
+  onSettings(id: string, output: SharedOutput): void {
     processLog.processId = id;
+    processLog.output = output;
     this.phase = 'starting';
   }
 
--- a/src/cli/process-log.ts
+++ b/src/cli/process-log.ts
@@ -14,14 +14,17 @@
 /** Bounds texts so that a line fits into one atomic write to a pipe (PIPE_BUF, 4,096 bytes). */
 const MAX_TEXT_LENGTH = 1_500;
 
-const OUTPUTS = [
-  { fd: 1, stream: () => process.stdout },
-  { fd: 2, stream: () => process.stderr },
-];
+/** The output of a logger, which may hold lines that are not written yet. */
+export interface SharedOutput {
+  /** Writes a line after all earlier ones. @returns whether it was written */
+  writeNow(line: string): boolean;
+}
 
 class ProcessLog {
   /** The `id` in the settings, once they are known; added to each record. */
   processId: string | undefined;
+  /** The output of the program's logger, once there is one: no line may end up within one that it has half written. */
+  output: SharedOutput | undefined;
 
   info(message: string, fields: LogFields): void {
     this.write(INFO_LEVEL, message, fields);
@@ -32,16 +35,12 @@
   }
 
   private write(level: number, message: string, fields: LogFields): void {
-    for (const { fd, stream } of OUTPUTS) {
-      try {
-        // Opening the stream makes a pipe non-blocking: a write to one that is full fails instead of waiting.
-        if (stream().writableLength > 0) continue;
-        writeSync(fd, this.format(level, message, fields));
-        return;
-      } catch {
-        // Not logged: this is the log. The next output is tried.
-      }
-    }
+    const line = this.format(level, message, fields);
+    if (!this.writeToOutput(line)) writeNow(2, () => process.stderr, line);
+  }
+
+  private writeToOutput(line: string): boolean {
+    return this.output?.writeNow(line) ?? writeNow(1, () => process.stdout, line);
   }
 
   private format(level: number, message: string, fields: LogFields): string {
@@ -60,6 +59,19 @@
   }
 }
 
+/** Writes a line with one system call. @returns false if it could not be written, or would follow on a half written one */
+function writeNow(fd: number, open: () => NodeJS.WriteStream, line: string): boolean {
+  try {
+    // Opening the stream makes a pipe non-blocking: a write to one that is full fails instead of waiting.
+    if (open().writableLength > 0) return false;
+    writeSync(fd, line);
+    return true;
+  } catch {
+    // Not logged: this is the log.
+    return false;
+  }
+}
+
 function truncateText(_name: string, value: unknown): unknown {
   return typeof value === 'string' ? value.slice(0, MAX_TEXT_LENGTH) : value;
 }
--- a/src/cli/run-program.ts
+++ b/src/cli/run-program.ts
@@ -50,7 +50,7 @@
   const load = (): Settings => loadSettings(schema, options.config, overrides);
   const settings = load();
   const logger = createLogger(name, settings.id, settings.logLevel);
-  lifecycle.onSettings(settings.id);
+  lifecycle.onSettings(settings.id, getStandardOutput());
   eventLoopMonitor.start(logger);
   await prepareHashing();
   // Lets the event loop turn: a signal that has come while modules were loaded is handled before servers listen.
--- a/src/common/line-output.ts
+++ b/src/common/line-output.ts
@@ -40,10 +40,22 @@
       return;
     }
     const rest = this.tryWrite(bytes);
-    if (rest === undefined) return;
-    this.pending.push(rest);
-    this.pendingBytes += rest.length;
-    this.scheduleRetry();
+    if (rest !== undefined) this.keep(rest);
+  }
+
+  /**
+   * Writes a line now, after all pending ones.
+   * @returns false if nothing of it was written, because earlier lines are still pending or the write failed
+   */
+  writeNow(line: string): boolean {
+    this.flush();
+    if (this.pending.length > 0) return false;
+    const bytes = Buffer.from(line);
+    const rest = this.tryWrite(bytes);
+    if (rest === undefined) return true;
+    if (rest.length === bytes.length) return false;
+    this.keep(rest);
+    return true;
   }
 
   /** Writes as many pending lines as possible now. */
@@ -61,6 +73,12 @@
     this.reportLoss();
   }
 
+  private keep(rest: Uint8Array): void {
+    this.pending.push(rest);
+    this.pendingBytes += rest.length;
+    this.scheduleRetry();
+  }
+
   /** Keeps lines in order: after a loss, no line is kept until all lines before it have been written. */
   private enqueue(bytes: Uint8Array): void {
     if (this.lost > 0 || this.pendingBytes + bytes.length > MAX_PENDING_BYTES) {
--- a/test/cli/launch.test.ts
+++ b/test/cli/launch.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
-import { execFile } from 'node:child_process';
-import { existsSync } from 'node:fs';
+import { execFile, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { closeSync, existsSync, openSync } from 'node:fs';
 import { mkdtemp, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -55,6 +56,20 @@
     expect(await launch(bundle, 'x')).to.deep.equal(changed);
   });
 
+  it('runs the bundle though it cannot say on standard error that the cache is damaged', async () => {
+    await writeFile(`${bundle}.cache`, 'damaged');
+    const full = openSync('/dev/full', 'w');
+    const child = spawn(process.execPath, [LAUNCH, bundle, 'x'], {
+      stdio: ['ignore', 'pipe', full],
+    });
+    closeSync(full);
+    let out = '';
+    child.stdout!.on('data', (text: Buffer) => (out += text.toString()));
+    await once(child, 'close');
+    expect(child.exitCode).to.equal(0);
+    expect(out.replace(PROCESS_LINES, '').trim()).to.equal('ran x');
+  });
+
   it('fails with a clear error where there is no bundle', async () => {
     const { failed, err } = await launch(`${bundle}.missing`);
     expect(failed).to.equal(true);
--- a/test/common/line-output.test.ts
+++ b/test/common/line-output.test.ts
@@ -65,6 +65,21 @@
     });
   }
 
+  it('are not cut by a line that is written at once', () => {
+    descriptor.room = 2;
+    output.write('one\n');
+    expect(output.writeNow('two\n')).to.equal(false);
+    descriptor.room = Infinity;
+    expect(output.writeNow('three\n')).to.equal(true);
+    descriptor.room = 0;
+    expect(output.writeNow('four\n')).to.equal(false);
+    descriptor.room = 2;
+    expect(output.writeNow('five\n')).to.equal(true);
+    descriptor.room = Infinity;
+    output.flush();
+    expect(descriptor.written).to.equal('one\nthree\nfive\n');
+  });
+
   it('are tried again without a further line', async () => {
     descriptor.room = 0;
     output.write('one\n');
