An address that cannot exist no longer ends the processes that learn it

A target that registered with an address beyond the ranges (127.0.0.1:99999, 999.1.1.1:80) got 200, and the next connection to it ended its sidecar: the constructor of undici's pool throws 'Invalid URL' in a callback of the admission queue, and nothing catches it. Found while looking for events that nobody listens to; not known from users' machines.

Cause: the forms of addresses and origins were checked as text, not for their ranges. Checked where they come in now, with the same words: reports of targets (422), and the settings 'target', 'advertise', 'control', 'seeds', 'replicas' (exit 2). An origin that a setting advertises reaches all other processes.

--- a/src/membership/registration-api.ts
+++ b/src/membership/registration-api.ts
@@ -9,6 +9,7 @@
 import { writeJson, writeProblem } from '../http/api-response.js';
 import { faultsOf } from '../common/validate.js';
 import type { Logger } from '../common/logger.js';
+import { isAddressAndPort } from '../common/network-address.js';
 import type { TargetLease } from './target-lease.js';
 
 const INSTANCE_PATH = /^\/v1\/instances\/([^/?]+)$/;
@@ -19,7 +20,7 @@
 const bornSchema = z.number().int().min(0);
 const reportSchema = z.looseObject({
   service: z.string().min(1).max(200),
-  address: z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/, 'must be ADDRESS:PORT'),
+  address: z.string().refine(isAddressAndPort, 'must be ADDRESS:PORT'),
   slots: z.number().int().min(1),
   state: z.enum(['ready', 'leaving']),
   sequence: z.number().int().min(0),
--- a/src/settings/shared-settings.ts
+++ b/src/settings/shared-settings.ts
@@ -22,13 +22,16 @@
 /** Interval of heartbeats to control, in milliseconds: a fifth of the default lease of a member. */
 const DEFAULT_HEARTBEAT_INTERVAL_MS = 2_000;
 
+const ORIGIN_FORM = 'must be http://ADDRESS:PORT with an IP address';
+
 /** Origin of a process. Requires an IP address, so that a start does not depend on DNS. */
 export const originSchema = z
   .string()
-  .regex(
-    /^http:\/\/(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
-    'must be http://ADDRESS:PORT with an IP address',
-  );
+  .regex(/^http:\/\/(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, {
+    abort: true,
+    error: ORIGIN_FORM,
+  })
+  .refine((origin) => URL.canParse(origin), ORIGIN_FORM);
 
 /** Matches `ADDRESS:PORT`. */
 const ADDRESS_AND_PORT = /^(?:(\d{1,3}(?:\.\d{1,3}){3})|\[([0-9a-fA-F:]+)\]):(\d{1,5})$/;
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -1,5 +1,6 @@
 /** Schema of the settings of `shoredoor sidecar`. */
 import { z } from 'zod';
+import { isAddressAndPort } from '../common/network-address.js';
 import { nameSchema } from '../policy/resource-schema.js';
 import {
   followerShape,
@@ -42,7 +43,11 @@
    */
   target: z
     .string()
-    .regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/, 'must be ADDRESS:PORT')
+    .regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/, {
+      abort: true,
+      error: 'must be ADDRESS:PORT',
+    })
+    .refine(isAddressAndPort, 'must be ADDRESS:PORT')
     .nullish(),
   /** Time after which a target that has not reported is no longer used, in milliseconds. */
   targetSilentMs: z.number().int().min(500).max(600_000).default(DEFAULT_TARGET_SILENT_MS),
--- a/test/membership/registration-api.test.ts
+++ b/test/membership/registration-api.test.ts
@@ -55,6 +55,8 @@
     'has no sequence': JSON.stringify({ ...GOOD, sequence: undefined }),
     'has slots that are a text': JSON.stringify({ ...GOOD, slots: '8' }),
     'has no address': JSON.stringify({ ...GOOD, address: undefined }),
+    'has a port beyond the range': JSON.stringify({ ...GOOD, address: '127.0.0.1:99999' }),
+    'has an address beyond the range': JSON.stringify({ ...GOOD, address: '999.0.0.1:80' }),
     'has a state that is not known': JSON.stringify({ ...GOOD, state: 'resting' }),
     'has a zone that is a number': JSON.stringify({ ...GOOD, zone: 3 }),
     'names a service that is not declared': JSON.stringify({ ...GOOD, service: 'cellar' }),
