Test: requests at every moment of a planned stop

Clients send each 15 ms, on kept and new connections, repeatable and once only, from the signal to the end of the grace; durations are unknown at the signal and rise to 1.2 times the grace. What a target got has its answer, what it didn't get is refused with Retry-After.

--- a/test/support/calling-targets.ts
+++ b/test/support/calling-targets.ts
@@ -134,14 +134,15 @@
 
   private async declare(control: Program): Promise<boolean> {
     const limits = { timeoutMs: 5_000, objectiveMs: 2_000, rank: 0, maxTargets: 2 };
-    const route = (name: string, service: string) => ({
+    const route = (name: string, service: string, semantics = 'repeatable') => ({
       kind: 'Route',
       name,
-      spec: { host: HOST, pathPrefix: `/${name}/`, semantics: 'repeatable', service, ...limits },
+      spec: { host: HOST, pathPrefix: `/${name}/`, semantics, service, ...limits },
     });
     const service = (name: string) => ({ kind: 'Service', name, spec: { connections: 64 } });
     const resources = [
       route('front', 'front'),
+      route('place', 'front', 'once'),
       route('nested', 'back'),
       service('front'),
       service('back'),
