Bytes that are no request no longer take the place of an answer on their connection

Bytes in the middle of an answer that had begun were followed by a second head on the same connection.

Cause: the handler of clientError wrote its answer whatever was under way on the connection.

Now the answers of complete requests before it go first, and the connection ends after them; an answer that has begun is cut; a body that can't be parsed is refused as may-have-run, since its request may have been forwarded.

--- a/src/http/listening-server.ts
+++ b/src/http/listening-server.ts
@@ -3,8 +3,8 @@
  * requests that cannot be parsed. Deadlines of calls are enforced elsewhere.
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
-import type { Socket } from 'node:net';
 import { listen, type ListenAddress, type ListenContext } from './listen.js';
+import { UnparsableRequests } from './unparsable-requests.js';
 
 /** Maximum size of a request head, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -25,37 +25,6 @@
   readonly maxHeaderBytes?: number;
 }
 
-const CLIENT_ERROR_STATUS: Record<string, string> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-const BAD_REQUEST = '400 Bad Request';
-
-/**
- * Answers a request that could not be parsed, without echoing any of it, and reads nothing more from its connection: a request
- * that crosses the answer would be handled although its client takes the answer for its own. A connection without any request
- * is closed without an answer for the same reason.
- */
-function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable || socket.bytesRead === 0) {
-    socket.destroy();
-    return;
-  }
-  socket.pause();
-  const status = CLIENT_ERROR_STATUS[error.code ?? ''] ?? BAD_REQUEST;
-  const body = JSON.stringify({
-    type: 'urn:shoredoor:problem:bad-request',
-    title: status.slice(4),
-    status: Number(status.slice(0, 3)),
-    verdict: 'not-run',
-  });
-  socket.end(
-    `HTTP/1.1 ${status}\r\nContent-Type: application/problem+json\r\n` +
-      `Content-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`,
-  );
-  socket.destroySoon();
-}
-
 export class ListeningServer {
   private constructor(
     private readonly server: Server,
@@ -81,7 +50,9 @@
       },
       listener,
     );
-    server.on('clientError', answerClientError);
+    const unparsable = new UnparsableRequests();
+    server.prependListener('request', unparsable.onRequest);
+    server.on('clientError', unparsable.onError);
     return new ListeningServer(server, await listen(server, address, context));
   }
 
