Findings of the review: calls during a start, the log of the process, replaced files, failures that overlap

Each is a new way in which the fixes could cost something:

The server that accepts calls for the target binds last now, in sidecar, node and edge (test/programs/address-in-use.test.ts). - The line of the end could wait for ever on a pipe whose mode another process had reset: it is written through a descriptor of its own, as the logger's lines are. - A replacement of a file that a slow disk delays could undo a later one, and with it a promise (test/storage/disk-files.test.ts). - Two failures within a second opened the data folder of a replica twice. By reading, no test. - A claim message of another form, and a metric that fails, raised an uncaught error. By reading, no test.

address-in-use.test.ts expected the failed start as the last line; the line of the end follows it now, and both are checked. process-end.test.ts copies the folder above, as an entry point imports one module of it.

--- a/src/cli/process-log.ts
+++ b/src/cli/process-log.ts
@@ -6,6 +6,7 @@
  */
 import { writeSync } from 'node:fs';
 import { hostname } from 'node:os';
+import { openNonBlocking } from '../common/line-output.js';
 import type { LogFields } from '../common/logger.js';
 
 /** Bunyan's levels. */
@@ -36,11 +37,13 @@
 
   private write(level: number, message: string, fields: LogFields): void {
     const line = this.format(level, message, fields);
-    if (!this.writeToOutput(line)) writeNow(2, () => process.stderr, line);
-  }
-
-  private writeToOutput(line: string): boolean {
-    return this.output?.writeNow(line) ?? writeNow(1, () => process.stdout, line);
+    const { output } = this;
+    const writesOutput = (): boolean => output?.writeNow(line) ?? writeLine(1, line);
+    if (attempt(() => process.stdout, writesOutput)) return;
+    attempt(
+      () => process.stderr,
+      () => writeLine(2, line),
+    );
   }
 
   private format(level: number, message: string, fields: LogFields): string {
@@ -59,13 +62,27 @@
   }
 }
 
-/** Writes a line with one system call. @returns false if it could not be written, or would follow on a half written one */
-function writeNow(fd: number, open: () => NodeJS.WriteStream, line: string): boolean {
+const descriptors = new Map<number, number>();
+
+/** A descriptor on which a write fails instead of waiting for a reader. */
+function descriptorOf(fd: number): number {
+  const known = descriptors.get(fd);
+  if (known !== undefined) return known;
+  const descriptor = openNonBlocking(fd);
+  descriptors.set(fd, descriptor);
+  return descriptor;
+}
+
+/** Writes a line with one system call. @throws if it can't be written now */
+function writeLine(fd: number, line: string): boolean {
+  writeSync(descriptorOf(fd), line);
+  return true;
+}
+
+/** Tries to write a line. @returns false if that failed, or the line would follow on one that its stream has half written */
+function attempt(openStream: () => NodeJS.WriteStream, write: () => boolean): boolean {
   try {
-    // Opening the stream makes a pipe non-blocking: a write to one that is full fails instead of waiting.
-    if (open().writableLength > 0) return false;
-    writeSync(fd, line);
-    return true;
+    return openStream().writableLength === 0 && write();
   } catch {
     // Not logged: this is the log.
     return false;
--- a/src/common/line-output.ts
+++ b/src/common/line-output.ts
@@ -140,7 +140,7 @@
  * Opens a pipe or device again, without blocking: the mode of the inherited one is shared with other processes, any of which
  * may reset it. Sockets cannot be opened again, but process.stdout has made them non-blocking; files never block.
  */
-function openNonBlocking(descriptor: number): number {
+export function openNonBlocking(descriptor: number): number {
   const status = fstatSync(descriptor);
   if (!status.isFIFO() && !status.isCharacterDevice()) return descriptor;
   const { O_WRONLY, O_NONBLOCK, O_NOCTTY } = constants;
--- a/src/consensus/replica-host.ts
+++ b/src/consensus/replica-host.ts
@@ -77,6 +77,8 @@
   private bootstrap: ReplicaBootstrap | undefined;
   /** Messages that arrive while a formed set is written to disk: the first election may have begun. */
   private readonly deferred = new DeferredMessages();
+  /** Whether the folder is about to be opened again, after a failure. Further failures until then change nothing. */
+  private isReopening = false;
   /** Snapshot of the state machine before any command, from which a log without a snapshot is replayed. */
   private emptyState: Uint8Array | undefined;
 
@@ -160,6 +162,7 @@
       step();
     } catch (error) {
       if (!(error instanceof StorageError)) throw error;
+      this.isReopening = false;
       this.fail(error);
     }
   }
@@ -167,6 +170,8 @@
   private fail(error: Error): void {
     const cause = error.cause instanceof Error ? ` ${error.cause.message}` : '';
     this.setPhase('failed', `${error.message}${cause}`);
+    if (this.isReopening) return;
+    this.isReopening = true;
     this.options.clock.schedule(REOPEN_DELAY_MS, () => this.reopen());
   }
 
@@ -176,25 +181,31 @@
    */
   private reopen(): void {
     if (this.currentPhase !== 'failed') return;
-    this.bootstrap?.stop();
-    this.bootstrap = undefined;
-    this.deferred.take();
-    this.node?.stop();
-    this.node = undefined;
-    this.storage?.close();
-    this.storage = undefined;
+    this.closeAll();
     this.tryStorage(() => {
       if (!this.folder.isCreated) {
+        this.isReopening = false;
         this.create();
         return;
       }
       LogStorage.rewrite(this.options.files, (error) => {
+        this.isReopening = false;
         if (error !== undefined) this.fail(error);
         else this.start();
       });
     });
   }
 
+  private closeAll(): void {
+    this.bootstrap?.stop();
+    this.bootstrap = undefined;
+    this.deferred.take();
+    this.node?.stop();
+    this.node = undefined;
+    this.storage?.close();
+    this.storage = undefined;
+  }
+
   private create(): void {
     this.setPhase('creating', undefined);
     const identity = this.options.generateIdentity();
--- a/src/http/claim-transport.ts
+++ b/src/http/claim-transport.ts
@@ -67,6 +67,14 @@
   handle: (message: ClaimMessage) => ClaimReply,
 ): Promise<void> {
   const received = await readMessage<ClaimMessage>(message, BODY_LIMITS);
-  if (received === undefined) writeStatus(response, HttpStatus.BadRequest);
-  else writeMessage(response, handle(received));
+  if (received === undefined) {
+    writeStatus(response, HttpStatus.BadRequest);
+    return;
+  }
+  try {
+    writeMessage(response, handle(received));
+  } catch {
+    // Not logged: a message of another form, whose sender gets the refusal.
+    writeStatus(response, HttpStatus.BadRequest);
+  }
 }
--- a/src/observe/admin-server.ts
+++ b/src/observe/admin-server.ts
@@ -37,7 +37,10 @@
 /** Starts the admin server of a program. */
 export async function startAdminServer(options: AdminOptions): Promise<ListeningServer> {
   const handle: RequestListener = (message, response) => {
-    void handleAdminRequest(options, message, response);
+    handleAdminRequest(options, message, response).catch(() => {
+      // Not logged: a metric that can't be collected, which whoever scrapes it sees.
+      response.destroy();
+    });
   };
   return ListeningServer.start(options.address, handle, options.context);
 }
--- a/src/programs/edge-program.ts
+++ b/src/programs/edge-program.ts
@@ -102,8 +102,6 @@
 async function startServers(parts: EdgeParts): Promise<EdgeServers> {
   const { settings, logger, stats, stop, follower } = parts;
   const contextOf = listenContexts(logger);
-  const { handle } = createServer(parts);
-  const listen = await ListeningServer.start(settings.listen, handle, contextOf('listen'));
   const registry = createMetricsRegistry();
   registerCallMetrics(registry, stats, 'edge');
   const admin = await startAdminServer({
@@ -116,6 +114,8 @@
         unconfigured: 'no policy yet',
       }),
   });
+  const { handle } = createServer(parts);
+  const listen = await ListeningServer.start(settings.listen, handle, contextOf('listen'));
   return { listen, admin };
 }
 
--- a/src/programs/node-program.ts
+++ b/src/programs/node-program.ts
@@ -46,11 +46,6 @@
 async function startServers(parts: NodeParts): Promise<NodeServers> {
   const { settings, logger, leavingState, follower } = parts;
   const contextOf = listenContexts(logger);
-  const inbound = await ListeningServer.start(
-    settings.inbound,
-    createInbound(parts).handle,
-    contextOf('inbound'),
-  );
   const outbound = await ListeningServer.start(
     settings.outbound,
     createOutbound(parts).handle,
@@ -66,6 +61,12 @@
         unconfigured: 'no policy yet',
       }),
   });
+  // Comes last: a call that is accepted before all addresses are bound would be cut off if one of them stays in use.
+  const inbound = await ListeningServer.start(
+    settings.inbound,
+    createInbound(parts).handle,
+    contextOf('inbound'),
+  );
   return { inbound, outbound, admin };
 }
 
--- a/src/programs/sidecar-servers.ts
+++ b/src/programs/sidecar-servers.ts
@@ -36,18 +36,25 @@
   readonly admin: ListeningServer;
 }
 
-/** Starts the servers. The admin server is last, so that all others listen once probes succeed. */
+/**
+ * Starts the servers. The one that accepts calls for the target is last: calls that are accepted before all addresses are bound
+ * would be cut off if one of them stays in use. Probes of the admin server succeed once the follower has started.
+ */
 export async function startSidecarServers(parts: SidecarParts): Promise<SidecarServers> {
   const { settings, logger } = parts;
   const contextOf = listenContexts(logger);
   const gate = createGate(parts);
   const ingress = createIngress(parts);
-  const inbound = await LinkServer.start(
-    settings.inbound,
-    settings.linkToken,
-    gate.handle,
-    contextOf('inbound'),
-  );
+  const admin = await startAdminServer({
+    address: settings.admin,
+    context: contextOf('admin'),
+    registry: createMetrics(parts),
+    readiness: () =>
+      followerReadiness(parts.stopProgress.phase !== StopPhase.Running, parts.follower, {
+        leaving: 'leaving',
+        unconfigured: 'no configuration yet',
+      }),
+  });
   const outbound = await ListeningServer.start(
     settings.outbound,
     ingress.handle,
@@ -59,16 +66,12 @@
     createRegistration(parts).handle,
     contextOf('registration'),
   );
-  const admin = await startAdminServer({
-    address: settings.admin,
-    context: contextOf('admin'),
-    registry: createMetrics(parts),
-    readiness: () =>
-      followerReadiness(parts.stopProgress.phase !== StopPhase.Running, parts.follower, {
-        leaving: 'leaving',
-        unconfigured: 'no configuration yet',
-      }),
-  });
+  const inbound = await LinkServer.start(
+    settings.inbound,
+    settings.linkToken,
+    gate.handle,
+    contextOf('inbound'),
+  );
   return { gate, ingress, inbound, outbound, registration, admin };
 }
 
--- a/src/storage/disk-files.ts
+++ b/src/storage/disk-files.ts
@@ -65,6 +65,9 @@
 }
 
 export class DiskFiles implements StorageFiles {
+  /** The last replacement of each file. */
+  private readonly replacements = new Map<string, Promise<void>>();
+
   constructor(private readonly folder: string) {}
 
   createFolder(): void {
@@ -85,7 +88,15 @@
   }
 
   replace(name: string, bytes: Uint8Array, done: FileCallback): void {
-    this.writeAndRename(name, bytes).then(
+    // One at a time: a replacement that a slow disk delays must not undo a later one.
+    const previous = this.replacements.get(name) ?? Promise.resolve();
+    const replacement = previous.then(() => this.writeAndRename(name, bytes));
+    // A failure is reported by `done` alone.
+    this.replacements.set(
+      name,
+      replacement.catch(() => undefined),
+    );
+    replacement.then(
       () => done(undefined),
       (error: unknown) => done(storageError(`replace ${name}`, error)),
     );
--- a/test/cli/process-end.test.ts
+++ b/test/cli/process-end.test.ts
@@ -95,12 +95,17 @@
 
   it('names a module of the command line that is missing', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'shoredoor-broken-'));
-    cpSync(dirname(PRODUCT_SCRIPT), folder, {
+    cpSync(dirname(dirname(PRODUCT_SCRIPT)), folder, {
       recursive: true,
       filter: (file) => !file.endsWith('command-line.js'),
     });
     writeFileSync(join(folder, 'package.json'), '{"type":"module"}');
-    const child = ProductProcess.start([join(folder, 'main.js'), 'sidecar', '--config', 'x']);
+    const child = ProductProcess.start([
+      join(folder, 'cli', 'main.js'),
+      'sidecar',
+      '--config',
+      'x',
+    ]);
     expect(await child.ended).to.deep.equal({ code: 1, signal: null });
     const line = lastLineOf(child);
     expect(line).to.include({ msg: END_LINE, reason: 'failed-start', phase: 'loading' });
--- a/test/programs/address-in-use.test.ts
+++ b/test/programs/address-in-use.test.ts
@@ -132,6 +132,38 @@
     });
   }
 
+  // Calls that were accepted meanwhile reached the target and were cut when the start failed or was stopped.
+  for (const [name, server] of [
+    ['sidecar', 'inbound'],
+    ['node', 'inbound'],
+    ['edge', 'listen'],
+  ] as const) {
+    it(`accepts no call until it is free: ${name}`, async () => {
+      const held = await holdByListening();
+      const [port] = await freePorts(1);
+      const created = await createProgram(name, {
+        admin: { host: LOOPBACK, port: held.port },
+        [server]: { host: LOOPBACK, port },
+      });
+      const started = created.start();
+      const until = Date.now() + HELD_MS;
+      while (Date.now() < until) {
+        const caller = connect({ port: port!, host: LOOPBACK });
+        const [outcome] = await Promise.race([
+          once(caller, 'connect').then(() => ['accepted']),
+          once(caller, 'close').then(() => ['refused']),
+        ]).catch(() => ['refused']);
+        expect(outcome).to.equal('refused');
+        await delay(50);
+      }
+      await held.release();
+      await started;
+      const caller = connect({ port: port!, host: LOOPBACK });
+      await once(caller, 'connect');
+      caller.destroy();
+    });
+  }
+
   it('starts once the outgoing connection is closed that has its port', async () => {
     const held = await holdByConnecting();
     const created = await createProgram('sidecar', {
@@ -156,11 +188,21 @@
       const failure = await created.start().catch((error: unknown) => String(error));
       await held.release();
       expect(failure).to.contain('exited with code 1');
-      const last = logged().at(-1)!;
-      expect(last).to.include({ level: 50, msg: 'sidecar: The start failed.' });
-      expect(last.error).to.contain(`listen ${reason}`);
+      const [failed, last, ...more] = logged().slice(-2);
+      expect(more).to.deep.equal([]);
+      expect(failed).to.include({ level: 50, msg: 'sidecar: The start failed.' });
+      expect(last).to.include({
+        level: 50,
+        msg: 'process: Ended.',
+        reason: 'failed-start',
+        code: 1,
+      });
       const expected = `Could not listen at ${host}:${held.port} (setting 'outbound').`;
-      expect(last.error).to.contain(expected);
+      for (const line of [failed!, last!]) {
+        const { error, cause } = line;
+        expect(`${String(error)} ${String(cause)}`).to.contain(expected);
+        expect(`${String(error)} ${String(cause)}`).to.contain(`listen ${reason}`);
+      }
       expect(connections).to.equal(0);
     });
   }
