Consensus: one function says what a majority is

The loss tolerance and the promotion of learners computed the majority each for themselves, beside isMajority.

--- a/src/consensus/loss-tolerance.ts
+++ b/src/consensus/loss-tolerance.ts
@@ -1,4 +1,5 @@
 /** How many replicas a replica set can lose at once, with their disks, without losing entries or its majority. */
+import { majorityOf } from './peer-progress.js';
 
 /** Returns the number of voters that a set needs to keep a majority after the loss of `losses` of them. */
 export function votersToBear(losses: number): number {
@@ -10,6 +11,5 @@
  * is then still held by one of the remaining voters.
  */
 export function bearableLosses(voters: number, responsive: number): number {
-  const majority = Math.floor(voters / 2) + 1;
-  return Math.max(0, responsive - majority);
+  return Math.max(0, responsive - majorityOf(voters));
 }
--- a/src/consensus/peer-progress.ts
+++ b/src/consensus/peer-progress.ts
@@ -20,9 +20,14 @@
   return [...set.voters, ...set.learners];
 }
 
+/** Returns the smallest majority of so many voters. */
+export function majorityOf(voters: number): number {
+  return Math.floor(voters / 2) + 1;
+}
+
 /** Whether `count` voters form a majority of the set. */
 export function isMajority(count: number, set: ReplicaSet): boolean {
-  return count > set.voters.length / 2;
+  return count >= majorityOf(set.voters.length);
 }
 
 /** Returns the highest value that a majority of voters has reached; 0 for an empty set. */
--- a/src/consensus/replica-changes.ts
+++ b/src/consensus/replica-changes.ts
@@ -3,6 +3,7 @@
  * with any majority of the new one.
  */
 import type { Replica, ReplicaSet } from '../storage/persisted-state.js';
+import { majorityOf } from './peer-progress.js';
 
 /** What the leader knows about the replicas when it decides on a change. */
 export interface ReplicaObservations {
@@ -69,7 +70,7 @@
   observations: ReplicaObservations,
 ): boolean {
   const answering = voters.filter(({ identity }) => observations.isAnswering(identity)).length;
-  const majority = Math.floor((voters.length + 1) / 2) + 1;
+  const majority = majorityOf(voters.length + 1);
   return (
     observations.isAnswering(learner.identity) && answering >= Math.min(majority, voters.length)
   );
